Take SIGHUP: read the file again and move the watch to the new discovery

Ruled out: the old discovery's end as the cause (the exit comes with the first signal). Now the watch moves at once, the call in flight and old pauses dropped, the whole list asked for; an unusable file is logged and the old one holds; signals before the receiver stands and after it is gone are ignored.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,6 +4,8 @@
     s1 expect GLOB    the next thing that comes matches; s1: the first connection at any server, s2: the next
     c close | reset   ends the connection
     wait MS           time passes, on the mock clock
+    within MS STEP    the step takes no longer
+    move              discovery is at another address
     list STATE        every server is listed so (up, draining, removed)
     dropped WHY=N     what the front has counted so far
     stop              the balancer begins to leave
@@ -72,6 +74,10 @@
 
     async def _step(self, step: str) -> None:
         who, _, rest = step.partition(" ")
+        if who == "within":
+            limit, _, step = rest.partition(" ")
+            with trio.fail_after(float(limit) / 1000.0):
+                return await self._step(step)
         verb, _, what = rest.partition(" ")
         if who == "wait":
             await trio.sleep(float(rest) / 1000.0)
@@ -80,6 +86,8 @@
             assert " ".join(f"{k}={v}" for k, v in sorted(got.items())) == rest
         elif who == "list":
             self.listed(rest)
+        elif who == "move":
+            await self.move()  # type: ignore[attr-defined]
         elif who == "stop":
             self.nursery.start_soon(self.core.leave, 0.5, 1.5)
         elif verb == "expect":
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -51,25 +51,46 @@
     assert "config-unusable" in err and what in err
 
 
-def test_it_serves_and_on_sigterm_moves_what_is_open_and_leaves(tmp_path: Path) -> None:
+def test_it_serves_takes_sighups_and_on_sigterm_moves_what_is_open_and_leaves(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = free.getsockname()
     path = tmp_path / "config.json"
-    with socket.create_server(("127.0.0.1", 0)) as server:
+    with socket.create_server(("127.0.0.1", 0)) as server, socket.create_server(("127.0.0.1", 0)) as moved:
+        moved.settimeout(10)
         entry = {"instanceId": "a", "hostPort": f"127.0.0.1:{server.getsockname()[1]}", "lifecycle": "up"}
         known = {"generation": 1, "reset": True, "instances": [entry]}
-        path.write_bytes(orjson.dumps(config(listen=f"127.0.0.1:{address[1]}", known=known)))
+        full = config(
+            listen=f"127.0.0.1:{address[1]}", known=known, settings={**SETTINGS, "membership-mode": "ask"}
+        )
+        path.write_bytes(orjson.dumps(full))
         with start(path) as process:
             assert process.stderr
             for line in process.stderr:
-                if "listening" in line:
+                if " listening" in line:
                     break
             with socket.create_connection(address, timeout=10) as client, client.makefile() as answers:
                 client.sendall(b"PING\r\nOPEN 1 2 c=view,d=1000\r\n")
                 standing, _ = server.accept()
                 standing.sendall(b"UP 7\r\n")
                 assert [answers.readline(), answers.readline()] == ["PONG\n", "UP 7\n"]
+                good = orjson.dumps(full | {"discovery": f"127.0.0.1:{moved.getsockname()[1]}", "name": "n1"})
+                for text, event in (
+                    (good[:90], "reload-unusable"),
+                    (b"", "reload-unusable"),
+                    (good, "reload "),
+                ):
+                    path.write_bytes(text)
+                    for _ in range(3):  # some may come as one
+                        process.send_signal(signal.SIGHUP)
+                    line = next(x for x in process.stderr if event in x)
+                    assert ("restart-for=name" in line) == (text is good)
+                for _ in range(2):  # a call in flight gives way to the next
+                    call, _ = moved.accept()
+                    with call, call.makefile() as asked:
+                        assert asked.readline() == "GET /registry/instances HTTP/1.1\n"
+                        process.send_signal(signal.SIGHUP)
                 process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
                 assert answers.readline() == "MOVE\n" and not answers.readline()
             _, err = process.communicate(timeout=20)
             standing.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -184,6 +184,7 @@
 
 LISTED = '{"generation":4,"reset":false,"instances":[]}'
 CALL = "expect GET /registry/instances?index=0&wait=4000 HTTP/1.1\n"
+WHOLE = "expect GET /registry/instances HTTP/1.1\n"
 REST = "s{0} expect Host: *\ns{0} expect EOF\n"  # an empty line reads as EOF does
 WATCHES = {
     "the next call follows at once, on the same connection": f"""
@@ -196,6 +197,19 @@
         s2 {CALL}""",
     "a reset is told, and the call comes again": f"s1 {CALL} s1 reset\ns2 {CALL}",
     "a stall is told, and the call comes again": f"s1 {CALL} wait 6500\ns2 {CALL}",
+    "a move ends the call in flight and asks for the whole list, then for changes": f"""
+        s1 {CALL} {REST.format(1)}
+        move
+        within 100 s2 {WHOLE} {REST.format(2)}
+        s1 expect EOF
+        s2 send HTTP/1.1 200 OK\\r\\nContent-Length: {len(LISTED)}\\r\\n\\r\\n{LISTED}
+        within 100 s2 expect GET /registry/instances?index=4&wait=4000 HTTP/1.1""",
+    "a move waits for no pause after failed calls, nor do those that follow": f"""
+        s1 {CALL} s1 reset\ns2 {CALL} s2 reset\ns3 {CALL} s3 reset\ns4 {CALL} s4 reset
+        move
+        within 100 s5 {WHOLE} s5 reset
+        within 350 s6 {WHOLE}""",
+    "a move during a move": f"move\nmove\nwithin 100 s1 {WHOLE} move\nwithin 100 s2 {WHOLE}",
     "a body that is no list is told, and the call comes again": f"""
         s1 {CALL} {REST.format(1)}
         s1 send HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\n\\r\\n[
@@ -210,9 +224,15 @@
             world.taken.append(LinePeer(stream))
             await trio.sleep_forever()
 
+        async def move() -> None:
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            world.nursery.start_soon(trio.serve_listeners, take, [listener])
+            resolver.move(listener.socket.getsockname())
+
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         world.nursery.start_soon(trio.serve_listeners, take, [listener])
         resolver = Resolver(world.core, listener.socket.getsockname(), NAMES)
+        world.move = move  # type: ignore[attr-defined]
         resolver.known(b"no list")
         world.nursery.start_soon(resolver.run)
 
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -34,7 +34,7 @@
     resolver = Resolver(core, conf.discovery, conf.names)
     resolver.known(conf.known)
     front = Front(core, resolver, conf.names, conf.connect_timeout)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(core.keep_time)
             nursery.start_soon(core.keep_pulse)
@@ -49,8 +49,10 @@
                 await nursery.start(QuicFront(core, quic).run)
                 log.info("quic-listening address=%s:%d", *quic.listen)
             log.info("listening name=%s address=%s:%d", conf.name, *conf.listen)
-            async for _ in signals:
-                break
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                reload(conf, resolver)
             log.info("leaving")
             nursery.start_soon(core.leave, LEAVE_WAIT_S, LEAVE_OVER_S)
             with trio.move_on_after(max(conf.longest / 1000.0, 3.0) + KILL_S - LEAVE_END_S):
@@ -61,7 +63,24 @@
     log.info("left")
 
 
+def reload(conf: config.Config, resolver: Resolver) -> None:
+    """SIGHUP: the watch moves to the discovery that the file names now; all else waits for a restart."""
+    try:
+        new = config.load()
+    except (
+        config.ConfigError
+    ) as error:  # guards against a file that is missing or half written: the old holds
+        log.error("reload-unusable error=%r", str(error))
+        return
+    log.info(
+        "reload discovery=%s:%d restart-for=%s", *new.discovery, ",".join(conf.fixed_changes(new)) or "-"
+    )
+    resolver.move(new.discovery)
+
+
 def main() -> int:
+    # guards against a SIGHUP before the receiver stands or after it is gone, which would end the program
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         conf = config.load()
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -41,6 +41,11 @@
     connect_timeout: float  # ms
     longest: float  # the longest time that a client waits for its answer, ms
 
+    def fixed_changes(self, new: Config) -> list[str]:
+        """The keys in which a file read again differs and which only a restart applies."""
+        keys = ("name", "listen", "settings", "names", "fields", "connect_timeout", "longest")
+        return [key for key in keys if getattr(self, key) != getattr(new, key)]
+
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("GW_CONFIG")
--- a/walkloom/core.py
+++ b/walkloom/core.py
@@ -147,7 +147,14 @@
         """Whether a first byte may still go to this server: its drain may have been told since the choice."""
         return self._balancer.may_send(server, self.now())
 
+    def list_moved(self) -> None:
+        """The list is told elsewhere now: wanted at once, with no pause left from calls that failed."""
+        self.list_came(f.ListKind.DELTA)  # no change in it, but the module begins its pauses anew
+        self._watch.set()
+
     def list_came(self, kind: f.ListKind, servers: Iterable[f.Server] = ()) -> None:
+        if kind is f.ListKind.FAILED:  # guards the pauses against a wish from before this failure
+            self._watch = trio.Event()
         self.tell(f.ServerList(kind, tuple(servers)))
 
     def probed(self, server: f.Id, elapsed: float, report: tuple[float, ...]) -> None:
--- a/walkloom/net/resolver.py
+++ b/walkloom/net/resolver.py
@@ -66,7 +66,8 @@
     def __init__(self, core: Core, discovery: tuple[str, int], names: Names) -> None:
         self._core, self._discovery, self._names = core, discovery, names
         self._addresses: dict[f.Id, tuple[str, int]] = {}
-        self._generation = 0
+        self._generation: int | None = 0  # None: the whole list is wanted, whatever its version
+        self._calls = trio.CancelScope()
 
     def address(self, server: f.Id) -> tuple[str, int] | None:
         return self._addresses.get(server)
@@ -96,11 +97,19 @@
         """Watches whenever the module asks for it; a failed watch is told, the module says when to go on."""
         while True:
             await self._core.watch_wanted()
-            try:
-                await self._watch()
-            except (ResolverError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
-                log.warning("resolver-failed error=%r", str(error) or repr(error))
-                self._core.list_came(f.ListKind.FAILED)
+            with trio.CancelScope() as self._calls:
+                try:
+                    await self._watch()
+                except (ResolverError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+                    if not self._calls.cancel_called:  # a call to the discovery before this one tells nothing
+                        log.warning("resolver-failed error=%r", str(error) or repr(error))
+                        self._core.list_came(f.ListKind.FAILED)
+
+    def move(self, discovery: tuple[str, int]) -> None:
+        """Discovery is at another address: the call in flight ends, the next wants the whole list."""
+        self._discovery, self._generation = discovery, None
+        self._calls.cancel()
+        self._core.list_moved()
 
     async def _watch(self) -> None:
         while True:
@@ -126,7 +135,9 @@
 
     async def _call(self, stream: trio.SocketStream, http: h11.Connection) -> bytes:
         host = "{}:{}".format(*self._discovery)
-        target = f"/registry/instances?index={self._generation}&wait={WAIT_MS}"
+        target = "/registry/instances"
+        if self._generation is not None:
+            target += f"?index={self._generation}&wait={WAIT_MS}"
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         await stream.send_all((http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
         body = bytearray()
