Bound what bad clients can take: time to open, form of the line, descriptors

A log of first bytes named them: a PING and then nothing, half lines, unknown classes, `d=soon`, endless lines, open ids. Lines at fault: FIRST_LINE_S of 60 s begun anew after each ping (read.py), float() and repeated names in decode, accept.py without a bound, watch_end asleep once its buffer was full (lines.py), dial raising for want of a descriptor. Now: 2 s for a whole opening line, its form checked to the letter, ids and at= checked against what is open, one budget from limits.sockets that sheds idle channels, a drain bounded in bytes and time that copies nothing.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,6 +1,7 @@
 """The scenario language: a line a step, played against a front on loopback by stand-in peers.
 
     c send TEXT       a peer sends; clients (c, c2, ...) connect by their first send
+    c part TEXT       the same without a line's end
     s1 expect GLOB    the next thing that comes matches; s1: the first connection at any server, s2: the next
     c close | reset   ends the connection
     wait MS           time passes, on the mock clock
@@ -93,8 +94,8 @@
         elif verb == "expect":
             got = await (await self.peer(who)).receive()
             assert fnmatchcase(got, what), f"got {got!r}"
-        elif verb == "send":
-            await (await self.peer(who)).send(what)
+        elif verb in ("send", "part"):
+            await getattr(await self.peer(who), verb)(what)
         else:
             await getattr(await self.peer(who), verb)()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import errno
+
 import pytest
 import trio
 
 from tests import scenario
 from walkloom.config import Names
 from walkloom.net.accept import accept
+from walkloom.net.budget import Budget
 from walkloom.net.lines import LineError, Lines
 from walkloom.net.read import OpeningError, decode
 from walkloom.net.resolver import Resolver, ResolverError
@@ -15,6 +18,7 @@
 from walkloom.net.rpc import Front
 
 NAMES = Names(("chat",), ("acme", "best"), ("here",), ("fast",))
+OTHER = "OPEN aa 7f3a c=chat,t=acme,d=2000,g=5c0f"
 OPEN = "OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f"
 
 
@@ -23,7 +27,10 @@
         self.lines = Lines(stream)
 
     async def send(self, text: str) -> None:
-        await self.lines.send(text.encode().decode("unicode_escape").encode() + b"\r\n")
+        await self.part(text + r"\r\n")
+
+    async def part(self, text: str) -> None:
+        await self.lines.send(text.encode().decode("unicode_escape").encode())
 
     async def receive(self) -> str:
         try:
@@ -54,7 +61,7 @@
         port = listener.socket.getsockname()[1]
         lines.append(f'{{"instanceId":"{name}","hostPort":"127.0.0.1:{port}","lifecycle":"up"}}')
     resolver.known(f'{{"generation":1,"reset":true,"instances":[{",".join(lines)}]}}'.encode())
-    front = Front(world.core, resolver, NAMES, 60.0)
+    front = Front(world.core, resolver, NAMES, 60.0, 3000.0, Budget(getattr(world, "sockets", 1024)))
     listeners = await world.nursery.start(accept, front, ("127.0.0.1", 0))
     port = listeners[0].socket.getsockname()[1]
 
@@ -128,7 +135,7 @@
     "stopping: open ones are moved, new ones refused": UP + f"""
         stop
         wait 100
-        c2 send {OPEN}
+        c2 send {OTHER}
         c2 expect BUSY 500
         wait 1900
         c expect MOVE
@@ -137,11 +144,86 @@
 }  # fmt: skip
 
 
-@pytest.mark.parametrize("script", CASES.values(), ids=CASES.keys())
+BAD = {
+    "silent": "c part O\nwithin 2100 c expect EOF",
+    "silent after a ping": "c send PING\nc expect PONG\nwithin 2100 c expect EOF",
+    "trickling": "c part O\nwait 900\nc part P\nwait 900\nc part E\nwithin 300 c expect EOF",
+    "pinging on": "c send PING\nc expect PONG\nwait 1500\nc send PING\nc expect PONG\nwithin 600 c expect EOF",  # noqa: E501
+    "pings by the hundred": "c part " + r"PING\r\n" * 100 + "\n" + "c expect PONG\n" * 16 + "c expect ERR",
+    "half a command": "c part OPEN 1\nc close\nwithin 100 c expect EOF",
+    "an endless line": f"c part {'x' * 4_000_000}\nwithin 100 c expect ERR\nc expect EOF",
+    "many commands at once reach no server": rf"""
+        c send {OPEN}\r\n{OTHER}\r\n{OTHER}
+        within 100 c expect ERR
+        c2 send {OTHER}
+        s1 expect OPEN aa *""",
+    "a command before the answer ends the attempt": f"""
+        c send {OPEN}
+        s1 expect OPEN*
+        c send {OTHER}
+        within 100 c expect ERR
+        c expect EOF
+        s1 expect EOF""",
+    "the id of an open RPC": UP + f"c2 send {OPEN}\nwithin 100 c2 expect ERR\nc send M\ns1 expect M",
+    "a standing connection once others have come": UP + "c2 send OPEN a 7 c=chat,at=b\nc2 expect ERR",
+    "a standing connection long after the start": "wait 61000\nc send OPEN a 7 c=chat,at=b\nc expect ERR",
+    "a standing connection at no server known": "c send OPEN a 7 c=chat,at=z\nwithin 100 c expect ERR",
+}
+
+
+@pytest.mark.parametrize("script", (CASES | BAD).values(), ids=(CASES | BAD).keys())
 def test_front(script: str) -> None:
     scenario.run(script, build)
 
 
+CROWDS = {
+    "the channel that was silent for longest gives way": """
+        c1 part O\nc2 part O\nc3 part O\nc4 send PING\nc4 expect PONG
+        within 100 c1 expect EOF
+        c2 part P\nc3 part P""",
+    "an RPC's subchannel comes before a silent channel": f"""
+        c1 part O\nc2 part O
+        c send {OPEN}\ns1 expect OPEN*\ns1 send UP 7\nc expect UP 7
+        within 100 c1 expect EOF""",
+    "where all are RPCs the next is refused at once": f"""
+        c send {OPEN}\ns1 expect OPEN*\ns1 send UP 7\nc expect UP 7
+        c2 send {OTHER}\nwithin 100 c2 expect BUSY 500
+        c send M\ns1 expect M""",
+}
+
+
+@pytest.mark.parametrize("script", CROWDS.values(), ids=CROWDS.keys())
+def test_descriptors_run_out(script: str) -> None:
+    async def small(world: scenario.World) -> None:
+        world.sockets = 21  # type: ignore[attr-defined]  # 2 for probes, 16 of its own: 3 are left
+        await build(world)
+
+    scenario.run(script, small)
+
+
+def test_no_descriptor_is_left_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
+    real, left = trio.SocketListener.accept, iter(range(3))
+
+    async def accept_short(self: trio.SocketListener) -> trio.SocketStream:
+        if next(left, None) is not None:
+            raise OSError(errno.EMFILE, "too many")
+        return await real(self)
+
+    monkeypatch.setattr(trio.SocketListener, "accept", accept_short)
+    scenario.run(UP, build)
+
+
+def test_a_server_is_not_blamed_for_descriptors_that_we_lack(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def none_left(address: object) -> None:
+        raise OSError(errno.EMFILE, "too many")
+
+    monkeypatch.setattr("walkloom.net.connect.dial", none_left)
+    blamed: list[object] = []
+    monkeypatch.setattr("walkloom.decide.Balancer._failed", lambda _, server: blamed.append(server))
+    scenario.run(f"c send {OPEN}\nwithin 100 c expect BUSY*", build, ("attempt-unsent",) * 3)
+    assert not blamed
+
+
 def test_a_failing_module_still_gives_one_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(*_: object) -> None:
         raise RuntimeError("module")
@@ -152,18 +234,41 @@
 
 def test_the_opening_line_is_decoded_once_and_passed_on_but_for_its_patience() -> None:
     line = b"OPEN 9b1f 7f3a c=chat,t=best,d=2000,g=5c0f,h=1.5,r=1,again=1,other=9\r\n"
-    got = decode(line, NAMES)
+    got = decode(line, NAMES, 3000.0)
     assert (got.cls, got.tenant, got.patience, got.key, got.group) == (0, 1, 2000.0, 0x7F3A, 0x5C0F)
     assert (got.load, got.repeat, got.returned, got.stands_at) == (1.5, True, True, None)
     assert got.for_subchannel(1234.9) == line.replace(b"d=2000", b"d=1234")
 
 
 @pytest.mark.parametrize(
-    "line", [b"HELLO\r\n", b"OPEN 1 2 c=chat\r\n", b"OPEN 1 2 d=9\r\n", b"OPEN 1 2 c\r\n", b"\xff\r\n"]
+    "line",
+    [
+        "HELLO",
+        "OPEN 1 2 c=chat",
+        "OPEN 1 2 d=9",
+        "OPEN 1 2 c",
+        "\xff",
+        "OPEN 1 2",
+        "OPEN 1 c=chat,d=9",
+        "OPEN",
+    ]
+    + ["OPEN 1\x0b2 c=chat,d=9", "OPEN 1  2 c=chat,d=9", "OPEN x 2 c=chat,d=9", "OPEN 1 2 c=chat,d=9 "]
+    + [
+        f"OPEN 1 2 c=chat,d={d}"
+        for d in ("nan", "inf", "-5", "0", "1e3", "1_0", "", "3001", "9" * 40, "9soon")
+    ]
+    + [
+        f"OPEN 1 2 c=chat,d=9,{x}"
+        for x in ("h=nan", "h=inf", "h=-1", "h=" + "9" * 12, "h=", "r=2", "again=x")
+    ]
+    + [
+        f"OPEN 1 2 c=chat,d=9,{x}"
+        for x in ("d=9", "c=chat", "g=z", "g=" + "f" * 17, "=1", "x", "x=1=2", "t=none")
+    ],
 )
-def test_malformed_opening_lines_are_named(line: bytes) -> None:
+def test_opening_lines_that_no_client_sends_are_named(line: str) -> None:
     with pytest.raises(OpeningError):
-        decode(line, NAMES)
+        decode(line.encode("latin-1") + b"\r\n", NAMES, 3000.0)
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"generation":1,"reset":true,"instances":[{}]}'])
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -13,6 +13,7 @@
 from walkloom import config
 from walkloom.core import Core
 from walkloom.net.accept import accept
+from walkloom.net.budget import Budget
 from walkloom.net.probe import Prober
 from walkloom.net.resolver import Resolver
 from walkloom.net.rpc import Front
@@ -33,13 +34,14 @@
     core = Core(conf.settings, conf.seed)
     resolver = Resolver(core, conf.discovery, conf.names)
     resolver.known(conf.known)
-    front = Front(core, resolver, conf.names, conf.connect_timeout)
+    budget = Budget(conf.sockets)
+    front = Front(core, resolver, conf.names, conf.connect_timeout, conf.longest, budget)
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(core.keep_time)
             nursery.start_soon(core.keep_pulse)
             nursery.start_soon(resolver.run)
-            nursery.start_soon(Prober(core, resolver, conf.fields).run)
+            nursery.start_soon(Prober(core, resolver, conf.fields, budget.probes).run)
             await nursery.start(accept, front, conf.listen)
             if quic:
                 from walkloom.quic.front import (
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -13,6 +13,8 @@
 from walkloom import interface as f
 from walkloom import wire
 
+SOCKETS = 1024  # where the file sets no limit
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used; the text is one line for the staff."""
@@ -34,6 +36,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
+    sockets: int  # descriptors that this process may hold
     known: bytes  # the list as this balancer had it last, in discovery's form
     settings: f.Settings
     names: Names
@@ -43,7 +46,7 @@
 
     def fixed_changes(self, new: Config) -> list[str]:
         """The keys in which a file read again differs and which only a restart applies."""
-        keys = ("name", "listen", "settings", "names", "fields", "connect_timeout", "longest")
+        keys = ("name", "listen", "sockets", "settings", "names", "fields", "connect_timeout", "longest")
         return [key for key in keys if getattr(self, key) != getattr(new, key)]
 
 
@@ -60,6 +63,7 @@
             listen=address(data["listen"]),
             discovery=address(data["discovery"]),
             seed=int(str(data["seed"]), 16),
+            sockets=int(data.get("limits", {}).get("sockets", SOCKETS)),
             known=orjson.dumps(data["known"]),
             # guards against waiting for notes that no line carries: a jammed server returns lines at once
             settings=replace(wire.settings(profile), tells_delay=False),
--- a/walkloom/core.py
+++ b/walkloom/core.py
@@ -22,6 +22,7 @@
 
 log = logging.getLogger("walkloom")
 Order = f.Send | f.Refuse | f.Fail | f.Move
+WAITING_MOST = 256  # lines of one request whose return is timed
 PULSE_MS = 1000.0  # how often the delay of messages is told per server
 
 
@@ -63,7 +64,8 @@
         self.core.tell(f.Note(self.id, self.attempt, self.server, f.NoteKind.LOAD, value))
 
     def line_sent(self) -> None:
-        self.waiting.append(self.core.now())
+        if len(self.waiting) < WAITING_MOST:  # guards the memory against a client that sends without end
+            self.waiting.append(self.core.now())
 
     def line_returned(self) -> None:
         if self.waiting:
--- a/walkloom/net/accept.py
+++ b/walkloom/net/accept.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 
 import trio
@@ -10,6 +11,8 @@
 from walkloom.net.rpc import Front, live
 
 log = logging.getLogger("walkloom")
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+SHORT_PAUSE_S = 0.02
 
 
 async def accept(
@@ -27,4 +30,15 @@
             await channel.close()
 
     listeners = await trio.open_tcp_listeners(address[1], host=address[0])
-    await trio.serve_listeners(serve, listeners, task_status=task_status)
+    async with trio.open_nursery() as nursery:
+        task_status.started(listeners)
+        while True:
+            try:
+                stream = await listeners[0].accept()
+            except OSError as error:  # guards the listener: no descriptor is free, and one soon will be
+                if error.errno not in SHORT:
+                    raise
+                front.budget.shed()
+                await trio.sleep(SHORT_PAUSE_S)
+            else:
+                nursery.start_soon(serve, stream)
--- a/walkloom/net/connect.py
+++ b/walkloom/net/connect.py
@@ -56,6 +56,9 @@
                 log.warning("subchannel-odd server=%s line=%r", ticket.server, line[:80])
             return _OUTCOMES.get(verb(line), f.Status.ERROR) if line else f.Status.RESET
         return f.Status.TIMEOUT
+    except OSError as error:  # guards a sound server against blame for our lack of a descriptor
+        log.error("attempt-unsent server=%s error=%r", ticket.server, str(error))
+        return f.Status.MOOT
     except LineError:
         return f.Status.ERROR
     except trio.BrokenResourceError:
@@ -66,6 +69,7 @@
 
 
 async def dial(address: tuple[str, int]) -> Lines | None:
+    """None if nothing accepts there; OSError if we have no descriptor left."""
     sock = trio.socket.socket()
     try:
         await sock.connect(address)
--- a/walkloom/net/finish.py
+++ b/walkloom/net/finish.py
@@ -7,17 +7,17 @@
 import trio
 
 from walkloom import interface as f
+from walkloom.net.budget import Budget
 from walkloom.net.lines import Lines
 
 
-async def answer(channel: Lines, order: f.Refuse | f.Fail) -> None:
+async def answer(channel: Lines, order: f.Refuse | f.Fail, budget: Budget) -> None:
     if isinstance(order, f.Fail):
         line = b"ERR\r\n"
     else:
         line = b"BUSY %d\r\n" % order.retry_after if order.retry_after >= 1 else b"BUSY\r\n"
-    with trio.CancelScope(
-        shield=True, deadline=trio.current_time() + 1.0
-    ):  # owed also while the program stops
+    # owed also while the program stops
+    with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0) as scope, budget.spare(scope):
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await channel.send(line)
         await channel.close_gently()
--- a/walkloom/net/lines.py
+++ b/walkloom/net/lines.py
@@ -11,6 +11,8 @@
 LONGEST = 4096  # bytes of a line, its CRLF included
 CHUNK = 16_384
 LINGER_S = 0.8  # how long a side that was told the end may take to end its own
+DRAIN_MOST = 8 << 20  # bytes that may still come from it meanwhile, unread
+_VOID = bytearray(1 << 18)  # what is read to be dropped; Linux does not even copy it
 
 
 class LineError(ValueError):
@@ -56,13 +58,16 @@
         if length > LONGEST:
             raise LineError(f"a line of over {LONGEST} bytes")
 
-    async def watch_end(self) -> None:
-        """Returns when the other side ends; what it sends meanwhile is kept, within bounds."""
+    @property
+    def pending(self) -> bool:
+        """Whether something has come that no line() or whole() has returned."""
+        return bool(self._buffer)
+
+    async def stirs(self) -> bool:
+        """Waits until the other side sends something more, or ends: False."""
         with suppress(trio.BrokenResourceError):
-            while len(self._buffer) <= LONGEST and await self._more():
-                pass
-            if not self.ended:
-                await trio.sleep_forever()
+            return await self._more()
+        return False
 
     async def send(self, data: bytes) -> None:
         async with self._writing:  # guards MOVE against landing within a line that is being passed on
@@ -74,13 +79,13 @@
             await self._stream.send_eof()
 
     async def close_gently(self) -> None:
-        """FIN, then reads on until the other side ends: guards the last line against the reset that
-        closing with unread bytes would cause."""
-        with trio.move_on_after(LINGER_S):
+        """FIN, then reads on until the other side ends, within bounds: guards the last line against the
+        reset that closing with unread bytes would cause."""
+        left = DRAIN_MOST
+        with trio.move_on_after(LINGER_S), suppress(OSError, trio.ClosedResourceError):
             await self.finish()
-            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                while await self._stream.receive_some(CHUNK):
-                    pass
+            while left > 0 and (got := await self._stream.socket.recv_into(_VOID, 0, socket.MSG_TRUNC)):
+                left -= got
         await self.close()
 
     async def close(self) -> None:
--- a/walkloom/net/probe.py
+++ b/walkloom/net/probe.py
@@ -11,6 +11,7 @@
 from walkloom.net.connect import dial
 from walkloom.net.lines import Lines
 from walkloom.net.resolver import Resolver
+from walkloom.net.tally import Tally
 
 log = logging.getLogger("walkloom")
 ANSWER_S = 0.5
@@ -18,20 +19,24 @@
 
 
 class Prober:
-    def __init__(self, core: Core, resolver: Resolver, fields: tuple[str, ...]) -> None:
-        self._core, self._resolver, self._fields = core, resolver, fields
+    def __init__(self, core: Core, resolver: Resolver, fields: tuple[str, ...], most: int) -> None:
+        self._core, self._resolver, self._fields, self._most = core, resolver, fields, most
+        self._skipped = Tally("probe-skipped")
         self._open: dict[f.Id, trio.MemorySendChannel[None]] = {}
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
             async for server in self._core.to_probe:
                 if server not in self._open:
+                    if len(self._open) >= self._most:  # guards the descriptors in a large fleet
+                        self._skipped.count(f"{server}: {self._most} probed")
+                        continue
                     self._open[server], asked = trio.open_memory_channel[None](1)
                     nursery.start_soon(self._stand, server, asked)
                 try:
                     self._open[server].send_nowait(None)
                 except trio.WouldBlock:
-                    log.info("probe-skipped server=%s", server)  # the one before is still out
+                    self._skipped.count(f"{server}: the one before is out")
 
     async def _stand(self, server: f.Id, asked: trio.MemoryReceiveChannel[None]) -> None:
         """One server's probes, one at a time, until they fail or stop coming."""
--- a/walkloom/net/read.py
+++ b/walkloom/net/read.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from dataclasses import dataclass
 
@@ -11,8 +10,12 @@
 from walkloom.config import Names
 from walkloom.net.lines import Lines
 
-log = logging.getLogger("walkloom")
-FIRST_LINE_S = 60.0
+FIRST_LINE_S = 2.0  # from the channel's start to the end of its opening line; 3 s are promised
+PINGS = 16  # most pings before it
+LOAD_MOST = 1e9
+_LINE = re.compile(r"OPEN ([0-9a-f]{1,32}) ([0-9a-f]{1,16}) ([!-~]+)\r\n")
+_NAME = re.compile(r"[a-z][a-z0-9_-]*")
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")  # guards against what float() also takes: nan, inf, 1_0
 _PATIENCE = re.compile(rb"(?<=[ ,])d=[^,\s]*")
 
 
@@ -39,46 +42,65 @@
         return _PATIENCE.sub(b"d=%d" % max(patience, 1), self.line, count=1)
 
 
-async def opening(channel: Lines, names: Names) -> Opening | None:
-    """The channel's first line that opens an RPC; pings before it are answered. None if it ends without."""
-    while True:
-        with trio.move_on_after(FIRST_LINE_S):
+async def opening(channel: Lines, names: Names, longest: float) -> Opening | None:
+    """The channel's first line that opens an RPC; pings before it are answered. None if it brings none."""
+    with trio.move_on_after(FIRST_LINE_S):  # one time for all: guards against pings and trickled bytes
+        for _ in range(PINGS):
             line = await channel.line()
-            if line.rstrip() == b"PING":
-                await channel.send(b"PONG\r\n")
-                continue
-            return decode(line, names) if line else None
-        return None
-
-
-def decode(line: bytes, names: Names) -> Opening:
-    try:
-        verb, rid, key, rest = line.decode("ascii").split()
-        if verb != "OPEN":
-            raise OpeningError(f"not OPEN but {verb}")
-        values = dict(item.split("=", 1) for item in rest.split(","))
-        return Opening(
-            line,
-            rid,
-            _index(names.classes, values["c"], "class"),
-            _index(names.tenants, values["t"], "tenant") if "t" in values else 0,
-            float(values["d"]) if "at" not in values else 0.0,
-            int(key, 16) or None,
-            int(values.get("g", "0"), 16) or None,
-            float(values["h"]) if "h" in values else None,
-            values.get("r") == "1",
-            values.get("again") == "1",
-            values.get("at"),
-        )
-    except KeyError as error:
-        raise OpeningError(f"lacks {error}") from None
-    except OpeningError:
-        raise
-    except ValueError as error:
-        raise OpeningError(str(error)) from None
+            if line.rstrip() != b"PING":
+                return decode(line, names, longest) if line else None
+            await channel.send(b"PONG\r\n")
+        raise OpeningError(f"over {PINGS} pings")
+    return None
+
+
+def decode(line: bytes, names: Names, longest: float) -> Opening:
+    """Guards servers and module against all that no client sends: they see a sound request or none."""
+    match = _LINE.fullmatch(line.decode("ascii", "replace"))
+    if not match:
+        raise OpeningError("not in the form of OPEN")
+    rid, key, rest = match.groups()
+    values: dict[str, str] = {}
+    for item in rest.split(","):
+        name, _, value = item.partition("=")
+        if not _NAME.fullmatch(name) or not value or "=" in value or name in values:
+            raise OpeningError(f"not a name and its one value: {item[:40]}")
+        values[name] = value
+    stands_at = values.get("at")
+    return Opening(
+        line,
+        rid,
+        _index(names.classes, values.get("c", ""), "class"),
+        _index(names.tenants, values["t"], "tenant") if "t" in values else 0,
+        0.0 if stands_at else _number("d", values.get("d", ""), 1.0, longest),
+        int(key, 16) or None,
+        _group(values.get("g", "0")),
+        _number("h", values["h"], 0.0, LOAD_MOST) if "h" in values else None,
+        _mark(values, "r"),
+        _mark(values, "again"),
+        stands_at,
+    )
 
 
 def _index(names: tuple[str, ...], name: str, what: str) -> int:
     if name not in names:
-        raise OpeningError(f"unknown {what} {name}")
+        raise OpeningError(f"unknown {what} {name[:40]}")
     return names.index(name)
+
+
+def _number(name: str, text: str, least: float, most: float) -> float:
+    if not _NUMBER.fullmatch(text) or not least <= float(text) <= most:
+        raise OpeningError(f"{name}={text[:40]}")
+    return float(text)
+
+
+def _group(text: str) -> int | None:
+    if not re.fullmatch("[0-9a-f]{1,16}", text):
+        raise OpeningError(f"g={text[:40]}")
+    return int(text, 16) or None
+
+
+def _mark(values: dict[str, str], name: str) -> bool:
+    if (mark := values.get(name, "0")) not in ("0", "1"):
+        raise OpeningError(f"{name}={mark[:40]}")
+    return mark == "1"
--- a/walkloom/net/relay.py
+++ b/walkloom/net/relay.py
@@ -11,8 +11,10 @@
 from walkloom.core import Ticket
 from walkloom.net.connect import verb
 from walkloom.net.lines import LINGER_S, LineError, Lines
+from walkloom.net.tally import Tally
 
 log = logging.getLogger("walkloom")
+_malformed = Tally("channel-malformed")
 SILENT_MS = 4000.0  # a line that has not come back for so long: its machine is gone or cut off
 LOOK_S, MOVE_S = 0.25, 0.5
 
@@ -24,7 +26,7 @@
         self.last = b""  # the newest verb from the subchannel: BYE or MOVE explain an end
 
     async def run(self, receipt: bytes) -> None:
-        """Tells the outcome, then closes both sides."""
+        """Tells the outcome and closes the subchannel; the channel is left to its owner."""
         try:
             await self.channel.send(receipt)
             async with trio.open_nursery() as nursery:
@@ -40,7 +42,6 @@
             self.ticket.ended(self.status, closed=True)
             with trio.CancelScope(shield=True):
                 await self.subchannel.close()
-        await self.channel.close_gently()
 
     async def _first(self, part: Callable[[], Awaitable[f.Status]], scope: trio.CancelScope) -> None:
         """The first part that ends decides how the connection ended."""
@@ -62,7 +63,7 @@
             await self.subchannel.finish()
             await trio.sleep(LINGER_S)  # the server's last lines still go down
         except LineError as error:
-            log.warning("channel-malformed request=%d error=%r", self.ticket.id, str(error))
+            _malformed.count(f"request {self.ticket.id}: {error}")
         except trio.BrokenResourceError:
             await self.subchannel.reset()
         return f.Status.CANCELLED
--- a/walkloom/net/rpc.py
+++ b/walkloom/net/rpc.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 
 import trio
 
@@ -11,38 +10,75 @@
 from walkloom.config import Names
 from walkloom.core import Core, Ticket
 from walkloom.net import finish, place, read
+from walkloom.net.budget import Budget
 from walkloom.net.connect import Up
 from walkloom.net.lines import LineError, Lines
-from walkloom.net.read import Opening
+from walkloom.net.read import Opening, OpeningError
 from walkloom.net.relay import Relay
 from walkloom.net.resolver import Resolver
+from walkloom.net.tally import Tally
 
 log = logging.getLogger("walkloom")
+STANDS_MS = 60_000.0  # how long after the start connections that stood before come back
+FULL_MS = 500.0  # when to come back to a balancer that has no descriptor left
 MARGIN_MS = 20.0  # of a client's patience: the way of its line to us and of our answer back
 
 
-@dataclass(frozen=True, slots=True)
 class Front:
     """What every RPC of this front shares."""
 
-    core: Core
-    resolver: Resolver
-    names: Names
-    connect_timeout: float
+    def __init__(
+        self,
+        core: Core,
+        resolver: Resolver,
+        names: Names,
+        connect_timeout: float,
+        longest: float,
+        budget: Budget,
+    ) -> None:
+        self.core, self.resolver, self.names, self.budget = core, resolver, names, budget
+        self.connect_timeout, self.longest = connect_timeout, longest
+        self.ids = set[str]()  # of the RPCs that are open
+        self.stands_till = core.now() + STANDS_MS
+        self.malformed = Tally("rpc-malformed")
+
+    def check(self, opening: Opening) -> None:
+        """Guards open RPCs and the module against openings that are in form and yet no client's."""
+        if opening.id in self.ids:
+            raise OpeningError(f"id {opening.id} is open")
+        if opening.stands_at is None:
+            self.stands_till = 0.0  # all that stood before have come back by now
+        elif self.core.now() >= self.stands_till or not self.resolver.address(opening.stands_at):
+            raise OpeningError(f"nothing stands at {opening.stands_at[:40]}")
 
 
 async def live(front: Front, channel: Lines) -> None:
     """Read, place, relay or answer. Exactly one final answer goes out for each opening line."""
-    try:
-        opening = await read.opening(channel, front.names)
-    except (LineError, read.OpeningError) as error:
-        log.warning("rpc-malformed error=%r", str(error))
-        return await finish.answer(channel, f.Fail(None))
-    except trio.BrokenResourceError:
-        opening = None
-    if opening is None:
-        return await channel.close()
+    with front.budget.take() as room:
+        if not room:
+            return await finish.answer(channel, f.Refuse(None, FULL_MS), front.budget)
+        try:
+            with trio.CancelScope() as scope, front.budget.spare(scope):
+                opening = await read.opening(channel, front.names, front.longest)
+            if scope.cancelled_caught or opening is None:
+                return
+            front.check(opening)
+            if channel.pending:  # a client waits for its answer
+                raise OpeningError("more than one command")
+        except (LineError, OpeningError) as error:
+            front.malformed.count(str(error))
+            return await finish.answer(channel, f.Fail(None), front.budget)
+        except trio.BrokenResourceError:
+            return
+        with front.budget.take() as room:  # the subchannel's
+            if not room:
+                return await finish.answer(channel, f.Refuse(None, FULL_MS), front.budget)
+            await _rpc(front, channel, opening)
+
+
+async def _rpc(front: Front, channel: Lines, opening: Opening) -> None:
     ticket = _ticket(front.core, opening)
+    front.ids.add(opening.id)
     try:
         result = await _placed(front, channel, ticket, opening)
         if isinstance(result, Up):
@@ -55,14 +91,15 @@
                 opening.stands_at is not None,
             )
             await Relay(ticket, channel, result.subchannel).run(result.receipt)
-        elif result is None:
-            await channel.close()
-        else:
+            with trio.CancelScope() as scope, front.budget.spare(scope):
+                await channel.close_gently()
+        elif result is not None:
             log.info(
                 "rpc-unavailable id=%s class=%s answer=%s", opening.id, opening.cls, type(result).__name__
             )
-            await finish.answer(channel, result)
+            await finish.answer(channel, result, front.budget)
     finally:
+        front.ids.discard(opening.id)
         ticket.close()
 
 
@@ -83,17 +120,19 @@
 async def _placed(
     front: Front, channel: Lines, ticket: Ticket, opening: Opening
 ) -> Up | f.Refuse | f.Fail | None:
-    """Places the RPC while its client stays; None if it left."""
+    """Places the RPC while its client stays and waits; None if it left."""
     result: Up | f.Refuse | f.Fail | None = None
+    early = False
     stage = place.place if opening.stands_at is None else place.rejoin
     try:
         async with trio.open_nursery() as nursery:
 
-            async def until_left() -> None:
-                await channel.watch_end()
+            async def until_stirs() -> None:
+                nonlocal early
+                early = await channel.stirs()
                 nursery.cancel_scope.cancel()
 
-            nursery.start_soon(until_left)
+            nursery.start_soon(until_stirs)
             result = await stage(front.core, front.resolver, ticket, opening, front.connect_timeout)
             nursery.cancel_scope.cancel()
     except Exception:  # guards the final answer: whatever broke, the client is told
@@ -102,9 +141,12 @@
         ticket.ended(f.Status.ERROR, closed=True)
     except trio.Cancelled:  # the program ends before the answer
         with trio.CancelScope(shield=True):
-            await finish.answer(channel, f.Refuse(ticket.id))
+            await finish.answer(channel, f.Refuse(ticket.id), front.budget)
         raise
     if result is None:
+        if early:  # guards the server against commands that are no lines of a connection that stands
+            front.malformed.count("a command before the answer to the first")
+            result = f.Fail(ticket.id)
         log.info("rpc-left id=%s request=%d attempts=%d", opening.id, ticket.id, ticket.attempt + 1)
         ticket.left()
         ticket.ended(f.Status.CANCELLED, closed=True)
