On SIGTERM serve on for 2 s and move late: the other balancer may just be starting

Times in the logs: n0 got SIGTERM at 13.65 and was ready again at 18.60; n1 got it at 16.65 and moved all it held from 17.15 on, while nobody else took connections, and it refused new ones from the first moment. At fault: LEAVE_WAIT_S 0.5 and LEAVE_OVER_S 1.5 in __main__.py, `stopping` set at once in core.py. Ruled out: the cold server that took 44 connections (its settings say warm after 1 s, its load told 0.61). Now moves start 2 s after SIGTERM and last 0.9 s; new ones are placed until then.

--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -21,11 +21,9 @@
 from walkloom.quic.settings import QuicConfig
 
 log = logging.getLogger("walkloom")
-LEAVE_WAIT_S, LEAVE_OVER_S, LEAVE_END_S = (
-    0.5,
-    1.5,
-    0.4,
-)  # moves start, last, and how long before SIGKILL we end
+# On a planned stop open RPCs move as late as is safe: another balancer may be starting meanwhile
+LEAVE_WAIT_S, LEAVE_OVER_S, LEAVE_END_S = 2.0, 0.9, 0.4  # moves start, last; our end, before SIGKILL
+LEAVE_FRESH_S = 0.5  # new channels may still come after SIGTERM
 QUIC_FILE = Path("deploy/quic.toml")  # an operator's; without it the second front is off
 KILL_S = 0.7  # SIGKILL comes so long after the longest deadline
 
@@ -58,7 +56,7 @@
             log.info("leaving")
             nursery.start_soon(core.leave, LEAVE_WAIT_S, LEAVE_OVER_S)
             with trio.move_on_after(max(conf.longest / 1000.0, 3.0) + KILL_S - LEAVE_END_S):
-                await trio.sleep(LEAVE_WAIT_S)  # new channels keep coming for a while
+                await trio.sleep(LEAVE_FRESH_S)  # new channels keep coming for a while
                 while not core.idle:
                     await trio.sleep(0.05)
             nursery.cancel_scope.cancel()
--- a/walkloom/core.py
+++ b/walkloom/core.py
@@ -235,9 +235,9 @@
 
     async def leave(self, wait: float, over: float) -> None:
         """A planned stop: after a wait, moves every open connection, spread evenly over a time (seconds)."""
-        self.stopping = True
         end = trio.current_time() + wait + over
         await trio.sleep(wait)
+        self.stopping = True  # until now new ones are served: elsewhere nobody may be ready to take them
         moved = set[int]()
         while True:
             rest = [t for t in self._tickets.values() if t.up and t.id not in moved]
