Take reports as late, count what a new group costs, ask sooner in a burst

In a run with a long jam (choices logged) one server was filled from 30 to 60 connections at a reckoned load of 0.60 to 0.74 all along. At fault: _probed took each report as of now though it tells of up to 0.4 s before, so that every report hid the newest comers, and the cost learned from it fell (0.041 to 0.021); a group new to a server counted as one connection.

--- a/walkloom/decide.py
+++ b/walkloom/decide.py
@@ -30,17 +30,15 @@
 LOAD_STEP, UNIT_OVER = 0.05, 100  # weight of a told load in its class's mean; loads that the unit averages
 HOME_PART = 0.7  # part of the cold budget of its own zone's balancers
 PILE_MS, MOVE_LEAST, MOVE_MOST = 4000.0, 0.05, 0.25  # the part that a late note moves: least + delay / pile
-T_HOLD, T_WATCH, T_PROBE, T_LEAVE, WATCH_MS = (
-    1,
-    2,
-    3,
-    4,
-    200.0,
-)  # timer tokens; first pause before the list is asked for
+T_HOLD, T_WATCH, T_PROBE, T_LEAVE = 1, 2, 3, 4  # timer tokens
+WATCH_MS = 200.0  # first pause before the list is asked for
 LOOK_MS, PROBE_MS = 250.0, 1000.0  # pauses between probes of a server in use: until a load is told, and then
+LAG_MS = 400.0  # a report may be so old when it comes
+STEADY = 2.0  # own load that may come or go before a server is asked sooner, and a report tells no cost
 X0_STEP = 0.5  # weight of a report: reports are noisy
-LOAD_FULL, REPORT_MS = 0.7, 3000.0  # load from which a server is passed over; how long a report is believed
+LOAD_FULL, REPORT_MS = 0.75, 3000.0  # load from which a server is passed over; how long a report is believed
 COST_STEP, COST_HELD, QUOTA_PART = 0.1, 4.0, 0.85  # of what a connection adds; shares ask so much of a fleet
+GROUP_LOADS = 3.0  # mean loads that a group costs a server which holds any of it
 FAR_LOAD = 0.2  # where all are full, a far server must be so much freer
 QUEUE_MS, PILE_MOST = 5.0, 1500.0  # a message takes the pile + QUEUE_MS / (1 - x0)
 LEAVE_MS, LEAVE_PART = 100.0, 0.1  # the pace at which clients leave a draining server
@@ -64,6 +62,7 @@
         self.id, self.zone, self.cell = line.id, line.zone, line.cell
         self.state, self.since, self.salt = line.state, line.since, crc32(repr(line.id).encode())
         self.groups: dict[f.Id, int] = {}
+        self.fresh: list[tuple[float, float]] = []  # when and with what load the newest were placed here
 
     def forget(self, ramp_from: float) -> None:
         self.failing, self.out, self.trying, self.clean = 0.0, False, False, 0
@@ -255,12 +254,12 @@
         for pool in (home, tier):  # servers whose messages are slow come last, far ones before them
             if pool.servers:
                 rooms.append((pool, *self._look(r, pool, tried)))
-                free = [s for s in rooms[-1][2] if self._ahead(s) < LOAD_FULL]
+                free = [s for s in rooms[-1][2] if self._with(r, s) < LOAD_FULL]
                 quick = [s for s in free if self.now - s.slow_at >= STRAIN_MS]
                 if part := self._among(r, *rooms[-1][:2], quick):
                     return self._draw(part)
         if self.probes and (room := [s for _, _, part in rooms for s in part]):
-            return min(room, key=lambda s: self._ahead(s) + FAR_LOAD * (s.zone != self.set.zone))
+            return min(room, key=lambda s: self._with(r, s) + FAR_LOAD * (s.zone != self.set.zone))
         return next((self._draw(part) for room in rooms if (part := self._among(r, *room))), None)
 
     def _ahead(self, s: _Server) -> float:
@@ -268,9 +267,13 @@
         of comers that fills one server, a group's home above all, before a report can tell of it."""
         if not self.probes:
             return 0.0
-        if self.now - s.told_at > REPORT_MS:
-            return s.load * (s.cost or self.cost / s.size)
-        return s.x0 + (s.load - s.load_told) * (s.cost or self.cost / s.size)
+        old, cost = self.now - s.told_at > REPORT_MS, s.cost or self.cost / s.size
+        return s.load * cost if old else s.x0 + (s.load - s.load_told) * cost
+
+    def _with(self, r: _Request, s: _Server) -> float:
+        """What this request would make of it; a group new to a server costs more than the connection."""
+        new = r.req.group is not None and r.req.group not in s.groups
+        return self._ahead(s) + (self._load(r.req) + GROUP_LOADS * new) * (s.cost or self.cost / s.size)
 
     def _look(self, r: _Request, pool: _Pool, tried: set[f.Id]) -> tuple[_Server, list[_Server]]:
         """The first and those with room of what this request may draw: the homes of its group, else any."""
@@ -378,6 +381,7 @@
         r.server, r.load = s, self._load(r.req)
         s.conns, s.load = s.conns + 1, s.load + r.load
         self.load += r.load
+        s.fresh = [x for x in s.fresh if x[0] > self.now - LAG_MS] + [(self.now, r.load)] * self.probes
         if r.req.group is not None:
             s.groups[r.req.group] = s.groups.get(r.req.group, 0) + 1
 
@@ -498,20 +502,23 @@
         self.out.append(f.SetTimer(self.now + LOOK_MS, T_PROBE))
         for s in self.servers.values():
             if s.conns and s.state and s.probe_at <= self.now:
-                s.probe_at = self.now + (PROBE_MS if s.x0 else LOOK_MS) - 1.0
+                s.probe_at = self.now + (PROBE_MS if s.x0 and self._steady(s) else LOOK_MS) - 1.0
                 self.out.append(f.Probe(s.id))
 
+    def _steady(self, s: _Server) -> bool:
+        return abs(s.load - s.load_told) <= STEADY
+
     def _probed(self, event: f.ProbeResult) -> None:
         s, place = self.servers.get(event.server), self.set.load_field
         if s is None or not 0 <= place < len(event.report) or not (told := event.report[place]):
             return  # a load of 0 at a server in use is one that it has not measured yet
-        s.x0 = self._ahead(s) if s.x0 else told
+        # guards against a burst that each late report hides anew: it cannot know of the newest comers
+        told += sum(load for at, load in s.fresh if at > self.now - LAG_MS) * (s.cost or self.cost / s.size)
+        steady, s.x0 = self._steady(s), self._ahead(s) if s.x0 else told
         s.x0, s.load_told = s.x0 + X0_STEP * (told - s.x0), s.load
-        if (
-            0 <= self.set.held_field < len(event.report)
-            and (held := event.report[self.set.held_field]) > COST_HELD
-        ):
-            s.cost = told / held
+        held = event.report[self.set.held_field] if 0 <= self.set.held_field < len(event.report) else 0.0
+        if held > COST_HELD and steady:  # guards the cost against a load told late of comers counted already
+            s.cost = event.report[place] / held
             self.cost += (COST_STEP if self.cost else 1.0) * (s.cost * s.size - self.cost)
         # guards against a server believed quick once its load is under 1: its pile goes only slowly
         since, s.told_at = min(self.now - s.told_at, 2 * PROBE_MS), self.now
