Let commands sent at once leave the time for standing connections as it is

Seen while reading: rpc.py closed that time in Front.check before it turned the channel away for a second command. Tests also for a client or server that reads nothing: only its own relay stalls (held before, checked by the scenario).

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -32,6 +32,12 @@
     async def part(self, text: str) -> None:
         await self.lines.send(text.encode().decode("unicode_escape").encode())
 
+    async def flood(self) -> None:
+        """Sends until nothing more is taken."""
+        with trio.move_on_after(1.0):
+            while True:
+                await self.part("LOAD 1 " + "x" * 1000 + r"\r\n")
+
     async def receive(self) -> str:
         try:
             return (await self.lines.line()).decode().strip() or "EOF"
@@ -171,6 +177,11 @@
         c expect EOF
         s1 expect EOF""",
     "the id of an open RPC": UP + f"c2 send {OPEN}\nwithin 100 c2 expect ERR\nc send M\ns1 expect M",
+    "many commands do not end the time for standing connections": rf"""
+        c send {OPEN}\r\n{OTHER}
+        c expect ERR
+        c2 send OPEN a 7 c=chat,at=b
+        s1 expect OPEN a 7 *""",
     "a standing connection once others have come": UP + "c2 send OPEN a 7 c=chat,at=b\nc2 expect ERR",
     "a standing connection long after the start": "wait 61000\nc send OPEN a 7 c=chat,at=b\nc expect ERR",
     "a standing connection at no server known": "c send OPEN a 7 c=chat,at=z\nwithin 100 c expect ERR",
@@ -182,6 +193,29 @@
     scenario.run(script, build)
 
 
+STALLS = {"a client that reads nothing": "s1 flood", "a server that reads nothing": "c flood"}
+
+
+@pytest.mark.parametrize("flood", STALLS.values(), ids=STALLS.keys())
+def test_a_side_that_reads_nothing_stalls_its_own_relay_only(flood: str) -> None:
+    script = (
+        UP
+        + f"""
+        {flood}
+        c2 send {OTHER}
+        s2 expect OPEN aa*
+        s2 send UP 8
+        within 100 c2 expect UP 8
+        c2 send M 1
+        within 100 s2 expect M 1
+        s2 send M 1 ok
+        within 100 c2 expect M 1 ok
+        c2 close
+        s2 expect EOF"""
+    )
+    scenario.run(script, build)
+
+
 CROWDS = {
     "the channel that was silent for longest gives way": """
         c1 part O\nc2 part O\nc3 part O\nc4 send PING\nc4 expect PONG
--- a/walkloom/net/rpc.py
+++ b/walkloom/net/rpc.py
@@ -62,9 +62,9 @@
                 opening = await read.opening(channel, front.names, front.longest)
             if scope.cancelled_caught or opening is None:
                 return
-            front.check(opening)
             if channel.pending:  # a client waits for its answer
                 raise OpeningError("more than one command")
+            front.check(opening)
         except (LineError, OpeningError) as error:
             front.malformed.count(str(error))
             return await finish.answer(channel, f.Fail(None), front.budget)
