Spread the time to come back over 0.5 to 1.5 s

Seen while reading: _end told every refused client the same 1000 ms, so that a burst refused together returns together.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -629,6 +629,15 @@
     assert rig.where(rig.request(group="g")) == "c"  # both at home are full: a far one is freer
 
 
+def test_refused_clients_come_back_spread() -> None:
+    rig = Rig(max_retry_after=1500.0)
+    rig.news()
+    for _ in range(100):
+        rig.request()
+    waits = [x.retry_after for x in rig.got(f.Refuse)]
+    assert len(waits) == 100 and 500.0 <= min(waits) < 600.0 and 1400.0 < max(waits) <= 1500.0
+
+
 def test_late_reports_do_not_hide_a_burst() -> None:
     """Each report told of 0.3 s before: asked four times a second, a server was filled from 30 to 60."""
     rig = Rig(tells_delay=False, may_probe=True, load_field=1, held_field=0, quota=40.0)
--- a/walkloom/decide.py
+++ b/walkloom/decide.py
@@ -34,6 +34,7 @@
 WATCH_MS = 200.0  # first pause before the list is asked for
 LOOK_MS, PROBE_MS = 250.0, 1000.0  # pauses between probes of a server in use: until a load is told, and then
 LAG_MS = 400.0  # a report may be so old when it comes
+RETRY_MS = 1000.0  # mean time to come back; spread: guards against comers who all return at one moment
 STEADY = 2.0  # own load that may come or go before a server is asked sooner, and a report tells no cost
 X0_STEP = 0.5  # weight of a report: reports are noisy
 LOAD_FULL, REPORT_MS = 0.75, 3000.0  # load from which a server is passed over; how long a report is believed
@@ -452,7 +453,7 @@
         cls = self.set.classes[self.requests.pop(r.req.id).req.cls]
         self.held.pop(r.req.id, None)
         harmless = cls.effect is f.Effect.SAFE or (cls.effect is f.Effect.KEYED and cls.scope is f.Scope.ALL)
-        refuse = f.Refuse(r.req.id, min(1000.0, self.set.max_retry_after))
+        refuse = f.Refuse(r.req.id, min(RETRY_MS * (0.5 + self.rng.random()), self.set.max_retry_after))
         self.out.append(refuse if harmless or r.ran_at < 0 else f.Fail(r.req.id))
 
     def _timer(self, event: f.Timer) -> None:
