--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -648,6 +648,16 @@
     assert [rig.where(rig.request()) for _ in range(10)] == ["b"] * 10
 
 
+def test_standing_connections_are_not_added_to_a_report_that_holds_them() -> None:
+    """At a day's start 23 of them, counted twice, made a jam of a load of 0.6, and clients were moved."""
+    rig = Rig(tells_delay=False, may_probe=True, load_field=1, held_field=0, quota=80.0)
+    rig.news(A, B)
+    for i in range(23):
+        rig.give(f.Adopted(f.Request(100 + i, 0, 1e12), "a"))
+    rig.at(250.0).give(f.ProbeResult("a", f.Status.OK, 1.0, (23.0, 0.6)))
+    assert not rig.got(f.Move) and rig.balancer.servers["a"].x0 == 0.6
+
+
 def test_late_reports_do_not_hide_a_burst() -> None:
     """Each report told of 0.3 s before: asked four times a second, a server was filled from 30 to 60."""
     rig = Rig(tells_delay=False, may_probe=True, load_field=1, held_field=0, quota=40.0)
--- a/walkloom/decide.py
+++ b/walkloom/decide.py
@@ -400,8 +400,8 @@
     def _adopted(self, event: f.Adopted) -> None:
         if (s := self.servers.get(event.server)) and event.request.id not in self.requests:
             r = self.requests[event.request.id] = _Request(event.request)
-            r.attempts, r.open = 1, True
             self._count(r, s)
+            r.attempts, r.open, s.fresh = 1, True, []  # not new to the server: reports hold it already
 
     def _mine(self, event: f.Established | f.Outcome | f.Note) -> tuple[_Request, _Server] | None:
         r = self.requests.get(event.id)
