Add the client library: a core without I/O, drivers on trio and asyncio, a blocking form

Need: viewers retry as they please, not at all, at once or all together after a drain; the operators' first wish is a library that does it right.

Change: walkloom/client/. The core keeps deadlines over all tries, a retry budget (share of successes in ten one-second slots), holds a class after BUSY, leaves out balancers that do not answer and tries them by one request, and brings moved sessions back one after another, curators first.

Found on the way: a plain socket without TCP_NODELAY held a second line back until the first was acknowledged; a wait that ended exactly at its latest begin set its alarm anew for ever.

Nothing of it loads in run (tested).

--- /dev/null
+++ b/tests/client/test_drivers.py
@@ -0,0 +1,274 @@
+"""Both drivers against scripted balancers: the same tests, the same behaviour."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+import textwrap
+import threading
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from tests.client.scripted import VIEW, Balancer, Body, Kit, run_asyncio, run_trio
+from walkloom.client import Failed, Interrupted, Refused, TimedOut, blocking
+from walkloom.client.errors import ClientError
+from walkloom.client.settings import Limits
+
+Run = Callable[..., None]
+UP = "> UP 7\necho"
+both = pytest.mark.parametrize("run", [run_trio, run_asyncio], ids=["trio", "asyncio"])
+
+
+def opened(error: type[ClientError], within_ms: float, text: str = "") -> Body:
+    """A test's body: opening raises that, no later than that."""
+
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers) as client:
+            start = kit.now()
+            with pytest.raises(error, match=text):
+                await client.open("tile-view", tenant="acme")
+            assert (kit.now() - start) * 1000 <= within_ms + 20  # the loop's own delay on a busy machine
+            assert client.figures().sessions == 0
+        await kit.sleep(0.5)
+        assert not any(b.open for b in balancers)
+
+    return body
+
+
+@both
+@pytest.mark.parametrize(
+    "scripts, error, within, text",
+    [
+        (["hold"], TimedOut, 1200, "no answer"),
+        (["raw BUSY 10\nhold"], TimedOut, 1200, "no answer"),
+        (["trickle 100"], TimedOut, 1200, "no answer"),
+        (["wait 1190\n> BUSY 5"], Refused, 1200, "refused"),
+        (["wait 1230\n> BUSY 5"], TimedOut, 1200, "no answer"),
+        (["> BUSY 1300"], Refused, 100, "come again"),
+        (["> ERR"], Failed, 1200, "ERR"),
+        (["reset"], Failed, 1200, "broke"),
+        (["> HTTP/1.1 400 Bad Request\n> x"], Failed, 1200, "HTTP/1.1 400"),
+        ([r"raw \xff\xfe\r\n" + "\nhold"], Failed, 100, "not text"),
+        (["flood"], Failed, 100, "over 4096 bytes"),
+        (["> UP 1\nwait 50\nflood"], None, 0, ""),
+    ],
+)
+def test_what_a_bad_answer_gives_and_when(
+    run: Run, scripts: list[str], error: type[ClientError] | None, within: float, text: str
+) -> None:
+    if error is not None:
+        return run(opened(error, within, text), Balancer(scripts))
+
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers) as client:
+            session = await client.open("tile-view")
+            with pytest.raises(Failed, match="over 4096 bytes"):
+                await session.receive()
+            with pytest.raises(Failed, match="over 4096 bytes"):
+                await session.send("a")
+
+    run(body, Balancer(scripts))
+
+
+@both
+def test_lines_pass_both_ways_and_the_server_ends_it(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with (
+            kit.client(balancers) as client,
+            await client.open("tile-view", tenant="t", key=5) as session,
+        ):
+            assert session.receipt == "7" and session.standing
+            await session.send("a é")
+            await session.send("b")
+            assert [line async for line in session] == ["A", "B"]
+            assert not session.standing and await session.receive() is None
+            with pytest.raises(ClientError):
+                await session.send("c")
+
+    run(body, Balancer(["> UP 7\nexpect a é\nexpect b\n> A\n> B\n> LOAD 2\n> BYE\nwait 10"]))
+
+
+@both
+def test_a_moved_session_comes_back_by_itself_with_its_key_and_group(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers) as client:
+            session = await client.open("tile-view", tenant="t", key=5, group=6)
+            with pytest.raises(Interrupted) as error:
+                await session.send("a")
+                await session.receive()
+            assert error.value.unanswered == ("a",) and error.value.why == "moved"
+            await session.send("b")
+            assert await session.receive() == "b" and session.receipt == "8"
+            first, second = balancers[0].opened
+            assert first.split()[2] == second.split()[2] == f"{5:016x}" and "again=1" in second
+            assert f"g={6:016x}" in second and first.split()[1] != second.split()[1]
+
+    run(body, Balancer(["> UP 7\nexpect a\nraw MO\nwait 20\nraw VE\\r\\n", "> UP 8\necho"]))
+
+
+@both
+def test_one_balancer_is_dead_one_silent_and_one_serves(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        dead, silent, good = balancers
+        dead.port = good.port + 1 if good.port < 65_000 else 1  # may be anybody's: it is refused or odd
+        dead.port = 1
+        async with kit.client(balancers, retry_reserve=30) as client:
+            for _ in range(12):
+                start = kit.now()
+                with suppress(TimedOut, Failed):
+                    await client.open("tile-view")
+                assert (kit.now() - start) * 1000 <= 1200 + 20
+            figures = client.figures()
+            assert figures.counters.up >= 9 and len(good.opened) == figures.counters.up
+            assert figures.counters.left_out >= 1 and len(silent.opened) <= 4
+
+    run(body, Balancer(["hold"]), Balancer(["hold"]), Balancer([UP]))
+
+
+@both
+def test_all_refuse_for_five_seconds_and_then_recover(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers) as client:
+            start, refusals, session = kit.now(), 0, None
+            while session is None:
+                try:
+                    session = await client.open("tile-view")
+                except Refused as error:
+                    refusals += 1
+                    assert error.retry_after > 0
+                    await kit.sleep(error.retry_after / 1000)
+            assert kit.now() - start >= 5 and len(balancers[0].opened) <= 8 and refusals >= 1
+
+    scripts = ["> BUSY 1000"] * 5 + [UP]
+    run(body, Balancer(scripts))
+
+
+@both
+def test_a_caller_that_does_not_receive_stops_the_server_not_the_memory(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers, lines_in=8) as client:
+            session = await client.open("tile-view")
+            await kit.sleep(1)
+            held = len(session._machine.inbox)
+            await kit.sleep(1)
+            assert held == len(session._machine.inbox) <= 8 + 16_384 // 102
+            for _ in range(1000):
+                assert len(await session.receive() or "") == 100
+
+    run(body, Balancer(["> UP 1\n" + f"> {'x' * 100}\n" * 1000 + "hold"]))
+
+
+@both
+def test_a_server_that_does_not_read_stops_the_sender_and_no_line_is_lost(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers, lines_out=100_000, silence_ms=60_000) as client:
+            session = await client.open("tile-view")
+            sent = 0
+
+            async def flood() -> None:
+                nonlocal sent
+                while sent < 20_000:
+                    await session.send(f"{sent} {'x' * 1000}")
+                    sent += 1
+
+            assert await kit.cancelled_after(30_000, flood)
+            assert sent < 20_000
+            for n in range(sent):
+                line = await session.receive()
+                assert line and line.split()[0] == str(n)
+
+    run(body, Balancer(["> UP 1\nwait 5000\necho"]))
+
+
+@both
+def test_cancelling_the_caller_at_every_await_leaves_nothing_behind(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        async with kit.client(balancers) as client:
+
+            async def use() -> None:
+                async with await client.open("tile-view") as session:
+                    for n in range(3):
+                        await session.send(str(n))
+                        assert await session.receive() == str(n)
+
+            outcomes = [await kit.cancelled_after(steps, use) for steps in range(120)]
+            assert any(outcomes) and not all(outcomes)
+            await kit.sleep(0.1)
+            figures, n = client.figures(), client.figures().counters
+            assert figures.sessions == 0 and n.requests == n.up + n.abandoned and n.abandoned > 0
+            assert not any(b.open for b in balancers) and client.connections == {}
+
+    run(body, Balancer([UP]))
+
+
+@both
+def test_an_exception_of_the_caller_passes_as_it_is_and_closes_all(run: Run) -> None:
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        with pytest.raises(KeyError):
+            async with kit.client(balancers) as client:
+                await client.open("tile-view")
+                raise KeyError("mine")
+        await kit.sleep(0.1)
+        assert not any(b.open for b in balancers)
+
+    run(body, Balancer([UP]))
+
+
+def test_the_blocking_form_in_a_script() -> None:
+    balancer, ready, done = Balancer([UP]), threading.Event(), threading.Event()
+
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        ready.set()
+        while not done.is_set():
+            await kit.sleep(0.005)
+
+    thread = threading.Thread(target=run_asyncio, args=(body, balancer))
+    thread.start()
+    assert ready.wait(10)
+    try:
+        with blocking.Client([balancer.address], [VIEW], Limits(lines_out=4)) as client:
+            with client.open("tile-view", tenant="t") as session:
+                session.send("a")
+                assert session.receive() == "a" and session.receipt == "7" and session.standing
+                with pytest.raises(TimeoutError):
+                    session.receive(timeout=0.01)
+                session.send("b")
+                assert next(session) == "b"
+            with pytest.raises(ValueError, match="no class"):
+                client.open("none")
+            assert client.figures().counters.up == 1
+    finally:
+        done.set()
+        thread.join(10)
+
+
+def test_it_installs_without_the_balancer(tmp_path: Path) -> None:
+    """The package alone, in a folder of its own: neither the balancer nor trio is needed for asyncio."""
+    source = Path(__file__).parents[2] / "walkloom" / "client"
+    shutil.copytree(source, tmp_path / "walkloom" / "client", ignore=shutil.ignore_patterns("__pycache__"))
+    code = """
+        import sys
+        from walkloom.client import ClassPolicy, Refused
+        from walkloom.client import blocking, on_asyncio
+        extra = {name for name in sys.modules if name == "trio" or name.startswith("walkloom.")}
+        assert all(name.startswith("walkloom.client") for name in extra), extra
+        print(on_asyncio.__file__)
+    """
+    got = subprocess.run(
+        [sys.executable, "-c", textwrap.dedent(code)],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert got.returncode == 0 and str(tmp_path) in got.stdout, got.stderr
+
+
+def test_nothing_of_the_client_loads_in_a_balancer() -> None:
+    code = "import sys, walkloom.__main__; print([m for m in sys.modules if 'client' in m or 'hdrh' in m])"
+    got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert got.stdout.strip() == "[]", got.stdout + got.stderr
--- /dev/null
+++ b/walkloom/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: see docs/lab.md."""
