--- /dev/null
+++ b/tests/client/test_balancers.py
@@ -0,0 +1,161 @@
+"""The library against real balancers and the laboratory's servers, on one loop and a clock that jumps."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from walkloom.client import ClassPolicy, ClientError, Failed, Interrupted, Limits, Refused, TimedOut
+from walkloom.client.on_trio import Client
+from walkloom.lab import Fleet, Trouble
+
+CLASSES = (ClassPolicy("tile-view", 300, 1200), ClassPolicy("label-edit", 300, 1200, worth=2.0))
+Body = Callable[[Fleet, Client], Awaitable[None]]
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> None:
+    logging.getLogger("walkloom").setLevel(logging.ERROR)
+
+
+def play(
+    body: Body, servers: int = 3, balancers: int = 2, tile: dict[str, float] | None = None, **limits: float
+) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = await Fleet(nursery).start(servers, **(tile or {}))
+            for number in range(balancers):
+                await fleet.balancer(f"n{number}", balancers=balancers)
+            addresses = [b.address for b in fleet.balancers.values()]
+            async with Client(addresses, CLASSES, Limits(**limits), seed=1) as client:  # type: ignore[arg-type]
+                await body(fleet, client)
+            assert fleet.ledger.faults == []
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0.002))
+
+
+async def stands(client: Client, count: int, within_s: float) -> None:
+    with trio.fail_after(within_s):
+        while client.figures().standing < count:
+            await trio.sleep(0.05)
+
+
+HUNDREDS = 200
+
+
+def test_a_drain_of_a_full_server_with_hundreds_of_sessions() -> None:
+    async def body(fleet: Fleet, client: Client) -> None:
+        sessions = []
+        for number in range(HUNDREDS):
+            cls = "label-edit" if number % 5 == 0 else "tile-view"
+            sessions.append(await client.open(cls, tenant="herb-serra", group=number % 7 + 1, key=number))
+        fullest = max(fleet.tiles.values(), key=lambda s: len(s.standing))
+        held = len(fullest.standing)
+        tried = client.figures().counters.tries
+        await fleet.drain(fullest.name)
+        await stands(client, HUNDREDS, 20)
+        await trio.sleep(1)
+        n = client.figures().counters
+        assert held > 30 and n.moved >= held and n.returned == n.moved and n.lost == 0
+        assert n.tries - tried <= 1.2 * n.moved and not fullest.standing
+        for session in sessions:
+            await session.send("still there")
+            assert await session.receive() == "still there"
+
+    play(body, tile={"slots": 200})
+
+
+def test_a_balancer_that_restarts_with_sessions_standing() -> None:
+    async def body(fleet: Fleet, client: Client) -> None:
+        for number in range(40):
+            await client.open("tile-view", group=number)
+        first = fleet.balancers["n0"]
+        await first.stop()
+        await stands(client, 40, 10)
+        n = client.figures().counters
+        assert n.moved >= 10 and n.broken == 0 and n.lost == 0
+        listen = first.address
+        await fleet.balancer("n0", listen)
+        for number in range(40):
+            await client.open("tile-view", group=number)
+        assert client.figures().standing == 80
+
+    play(body)
+
+
+def test_a_balancer_that_dies_with_sessions_standing() -> None:
+    async def body(fleet: Fleet, client: Client) -> None:
+        sessions = [await client.open("tile-view", group=n) for n in range(40)]
+        for session in sessions:
+            await session.send("a")
+        fleet.balancers["n0"].kill()
+        answered = told = 0
+        for session in sessions:  # each line is answered or told, whichever was first
+            try:
+                assert await session.receive() == "a"
+                answered += 1
+            except Interrupted as error:
+                assert error.unanswered == ("a",)
+                told += 1
+        await stands(client, 40, 10)
+        n = client.figures().counters
+        assert answered + told == 40 and told >= 1 and n.broken >= 10 and n.lost == 0
+
+    play(body)
+
+
+@pytest.mark.parametrize("trouble", [Trouble.FAILING, Trouble.RESETTING, Trouble.FULL])
+def test_a_fleet_in_trouble_for_five_seconds_is_not_hammered_and_recovers(trouble: Trouble) -> None:
+    async def body(fleet: Fleet, client: Client) -> None:
+        async def viewer(number: int) -> None:
+            await trio.sleep(number * 0.05)
+            for _ in range(60):
+                with suppress(ClientError):
+                    await client.open("tile-view", group=number)
+                    return
+                await trio.sleep(0.2)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(viewer, number)
+            await trio.sleep(1)
+            for tile in fleet.tiles.values():
+                tile.trouble = trouble
+            await trio.sleep(5)
+            for tile in fleet.tiles.values():
+                tile.trouble = Trouble.NONE
+        n = client.figures().counters
+        assert n.up == 60 and n.requests > 100
+        assert n.tries <= 1.6 * n.up, "the fleet was hammered"
+
+    play(body)
+
+
+def test_no_try_outlives_its_time_whatever_the_servers_do() -> None:
+    async def body(fleet: Fleet, client: Client) -> None:
+        for tile, trouble in zip(
+            fleet.tiles.values(), (Trouble.SILENT, Trouble.TRICKLING, Trouble.NONE), strict=True
+        ):
+            tile.trouble, tile.share = trouble, 0.7
+
+        async def viewer(number: int) -> None:
+            start = trio.current_time()
+            with suppress(Refused, TimedOut, Failed):
+                await client.open("tile-view", group=number)
+            assert trio.current_time() - start <= 1.2 + 0.02
+
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(viewer, number)
+        n = client.figures().counters
+        assert n.requests == 60 == n.up + n.refused + n.timed_out + n.failed and n.up >= 10
+        await trio.sleep(2)
+        assert all(len(tile.standing) <= n.up for tile in fleet.tiles.values())
+
+    play(body)
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -56,6 +56,14 @@
         raise ConfigError("GW_CONFIG names no file")
     try:
         data = orjson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return parse(data, path)
+
+
+def parse(data: Any, origin: str) -> Config:
+    """The configuration from the form of the platform's file. origin: what an error names."""
+    try:
         settings = data["settings"]
         profile = wire.Profile(wire.paths_of(settings))
         return Config(
@@ -78,9 +86,9 @@
             longest=max(float(c["hard-limit"]) for c in settings["classes"]),
         )
     except KeyError as error:
-        raise ConfigError(f"{path}: lacks the key {error}") from None
-    except (OSError, ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+        raise ConfigError(f"{origin}: lacks the key {error}") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{origin}: {error}") from None
 
 
 def address(text: str) -> tuple[str, int]:
--- /dev/null
+++ b/walkloom/instance.py
@@ -0,0 +1,67 @@
+"""One balancer's parts, wired together; it knows no signal, so that several may stand in one process."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+
+from walkloom.config import Config
+from walkloom.core import Core
+from walkloom.net.accept import accept
+from walkloom.net.budget import Budget
+from walkloom.net.probe import Prober
+from walkloom.net.resolver import Resolver
+from walkloom.net.rpc import Front
+from walkloom.quic.settings import QuicConfig
+
+log = logging.getLogger("walkloom")
+# On a planned stop open RPCs move as late as is safe: another balancer may be starting meanwhile
+LEAVE_WAIT_S, LEAVE_OVER_S, LEAVE_END_S = 2.0, 0.9, 0.4  # moves start, last; our end, before SIGKILL
+LEAVE_FRESH_S = 0.5  # new channels may still come after SIGTERM
+KILL_S = 0.7  # SIGKILL comes so long after the longest deadline
+
+
+class Instance:
+    def __init__(self, conf: Config) -> None:
+        """Inside a trio run."""
+        self.conf = conf
+        self.core = Core(conf.settings, conf.seed)
+        self.resolver = Resolver(self.core, conf.discovery, conf.names)
+        self.resolver.known(conf.known)
+        self.address = conf.listen  # with the port that the system gave, once it serves
+        self._nursery: trio.Nursery
+
+    @classmethod
+    async def serve(
+        cls, conf: Config, quic: QuicConfig | None, task_status: trio.TaskStatus[Instance]
+    ) -> None:
+        """Serves until cancelled; the instance is told once it listens."""
+        self = cls(conf)
+        budget = Budget(conf.sockets)
+        front = Front(self.core, self.resolver, conf.names, conf.connect_timeout, conf.longest, budget)
+        async with trio.open_nursery() as self._nursery:
+            nursery = self._nursery
+            nursery.start_soon(self.core.keep_time)
+            nursery.start_soon(self.core.keep_pulse)
+            nursery.start_soon(self.resolver.run)
+            nursery.start_soon(Prober(self.core, self.resolver, conf.fields, budget.probes).run)
+            (listener, *_) = await nursery.start(accept, front, conf.listen)
+            self.address = listener.socket.getsockname()[:2]
+            if quic:
+                # needs a library that the platform's front does without
+                from walkloom.quic.front import QuicFront
+
+                await nursery.start(QuicFront(self.core, quic).run)
+                log.info("quic-listening address=%s:%d", *quic.listen)
+            log.info("listening name=%s address=%s:%d", conf.name, *self.address)
+            task_status.started(self)
+
+    async def leave(self) -> None:
+        """A planned stop: serves on for a while, moves what is open, and returns when nothing is left."""
+        log.info("leaving")
+        self._nursery.start_soon(self.core.leave, LEAVE_WAIT_S, LEAVE_OVER_S)
+        with trio.move_on_after(max(self.conf.longest / 1000.0, 3.0) + KILL_S - LEAVE_END_S):
+            await trio.sleep(LEAVE_FRESH_S)  # new channels keep coming for a while
+            while not self.core.idle:
+                await trio.sleep(0.05)
