--- /dev/null
+++ b/tests/client/test_readme.py
@@ -0,0 +1,38 @@
+"""The README's five lines run as they stand there, but for the address."""
+
+from __future__ import annotations
+
+import re
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+
+from tests.client.scripted import Balancer, Kit, run_asyncio
+
+
+def test_the_readme_s_use_of_the_client_runs(capsys: pytest.CaptureFixture[str]) -> None:
+    readme = (Path(__file__).parents[2] / "README.md").read_text()
+    blocks = re.findall(r"```python\n(.*?)```", readme, re.S)
+    (code,) = (block for block in blocks if "walkloom.client" in block)
+    balancer, ready, done = (
+        Balancer(["> UP 1\nexpect sheet 17\n> sheet 17 is here\nhold"]),
+        threading.Event(),
+        [],
+    )
+
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        ready.set()
+        while not done.is_set():
+            await kit.sleep(0.005)
+
+    thread = threading.Thread(target=run_asyncio, args=(body, balancer))
+    thread.start()
+    try:
+        assert ready.wait(10)
+        exec(code.replace("127.0.0.1:9000", balancer.address), {})
+    finally:
+        done.set()
+        thread.join(10)
+    assert capsys.readouterr().out == "sheet 17 is here\n" and "t=herb-serra" in balancer.opened[0]
--- a/walkloom/client/core.py
+++ b/walkloom/client/core.py
@@ -101,7 +101,7 @@
             raise ValueError("a client needs at least one class, each once")
         self._budget = RetryBudget(limits.retry_share, limits.retry_reserve)
         self._returns = Returns[Session](
-            list(self._classes),
+            {c.name: c.worth for c in ordered},
             limits.returns_per_s,
             limits.return_first_ms,
             limits.return_window_ms,
--- a/walkloom/client/settings.py
+++ b/walkloom/client/settings.py
@@ -49,7 +49,7 @@
     backoff_most_ms: float = 2_000.0
     silence_ms: float = 7_000.0  # a line without an answer for so long: the session is broken
     returns_per_s: float = 100.0  # sessions that were sent away come back at this pace ...
-    return_first_ms: float = 300.0  # ... from a moment drawn from 0 to this
+    return_first_ms: float = 1_000.0  # ... from a moment drawn from 0 to this
     return_window_ms: float = 20_000.0  # ... and faster where they would take longer than this
     return_for_ms: float = 60_000.0  # a session that cannot come back for so long is over
 
