Let the README hold more than one example

Cause: the test of the module's example took the only code block of the README, and there are two now; the client's README test had a type error. Change: each test picks its own block.

--- a/tests/client/test_readme.py
+++ b/tests/client/test_readme.py
@@ -16,11 +16,8 @@
     readme = (Path(__file__).parents[2] / "README.md").read_text()
     blocks = re.findall(r"```python\n(.*?)```", readme, re.S)
     (code,) = (block for block in blocks if "walkloom.client" in block)
-    balancer, ready, done = (
-        Balancer(["> UP 1\nexpect sheet 17\n> sheet 17 is here\nhold"]),
-        threading.Event(),
-        [],
-    )
+    balancer = Balancer(["> UP 1\nexpect sheet 17\n> sheet 17 is here\nhold"])
+    ready, done = threading.Event(), threading.Event()
 
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         ready.set()
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -191,5 +191,5 @@
 
 def test_the_readmes_example_runs() -> None:
     text = (Path(__file__).parent.parent / "README.md").read_text()
-    (code,) = re.findall(r"```python\n(.*?)```", text, re.S)
+    code = next(block for block in re.findall(r"```python\n(.*?)```", text, re.S) if "Balancer(" in block)
     exec(code, {})
