--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# build: the venv with all that tests need; run needs GW_CONFIG (see README.md)
+# build: the venv with all that tests need; run serves from GW_CONFIG, or shows the demonstration without it
 PY = .venv/bin/python
 
 .PHONY: build test lint run
@@ -14,4 +14,4 @@
 	PATH="$(CURDIR)/.venv/bin:$$PATH" sh -c 'ruff check . && ruff format --check . && mypy'
 
 run: build
-	exec $(PY) -m walkloom
+	exec $(PY) -m walkloom $(if $(GW_CONFIG),,demo)
--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,109 @@
+"""The command line: what it teaches, how it fails, and that the platform's start does not pay for it."""
+
+from __future__ import annotations
+
+import io
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+import trio
+from click.testing import CliRunner, Result
+from rich.console import Console
+from trio.testing import MockClock
+
+from walkloom.cli import main
+from walkloom.cli.demo import _screen
+from walkloom.lab.demo import Demo, View, summary
+
+
+def call(*words: str) -> Result:
+    return CliRunner().invoke(main, words)
+
+
+@pytest.mark.parametrize(
+    "words", [("--help",), ("run", "-h"), ("demo", "-h"), ("import", "-h"), ("lab", "load", "-h")]
+)
+def test_every_command_explains_itself(words: tuple[str, ...]) -> None:
+    got = call(*words)
+    assert got.exit_code == 0 and "Usage:" in got.output and len(got.output.splitlines()) > 5
+
+
+@pytest.mark.parametrize(
+    "words, text",
+    [
+        (("nonsense",), "No such command 'nonsense'"),
+        (("lab", "load", "-p", "1:1"), "Missing argument"),
+        (("lab", "load", "127.0.0.1:1"), "Missing option"),
+        (("lab", "load", "127.0.0.1:1", "-p", "fast"), "not RATE:SECONDS"),
+        (("lab", "load", "127.0.0.1:1", "-p", "1:0"), "up to an hour"),
+        (("lab", "load", "127.0.0.1:1", "-p", "1:1", "--processes", "0"), "processes: 1 to 64"),
+        (("demo", "--seconds", "1"), "4.0<=x<=600.0"),
+        (("import", "/no/such/file"), "No such file"),
+    ],
+)
+def test_wrong_words_end_with_two_and_say_why(words: tuple[str, ...], text: str) -> None:
+    got = call(*words)
+    assert got.exit_code == 2 and text in got.output + got.stderr
+
+
+def program(*words: str, **env: str) -> subprocess.CompletedProcess[str]:
+    plain = {name: value for name, value in os.environ.items() if name != "GW_CONFIG"}
+    return subprocess.run(
+        [sys.executable, "-m", "walkloom", *words],
+        env=plain | env,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+def test_without_words_it_serves_and_with_run_the_file_is_a_word(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text("{")
+    for got in (program(), program("run")):
+        assert got.returncode == 2 and "GW_CONFIG names no file" in got.stderr
+    got = program("run", "--config", str(path))
+    assert got.returncode == 2 and "config-unusable" in got.stderr and str(path) in got.stderr
+
+
+def test_the_version_and_completion_are_there() -> None:
+    assert program("--version").stdout.startswith("walkloom, version ")
+    got = program(_WALKLOOM_COMPLETE="bash_complete", COMP_WORDS="walkloom l", COMP_CWORD="1")
+    assert got.returncode == 2  # without words it serves, whatever else the environment holds
+    got = program("x", _WALKLOOM_COMPLETE="bash_complete", COMP_WORDS="walkloom l", COMP_CWORD="1")
+    assert got.stdout == "plain,lab\n"
+
+
+def test_the_platform_s_start_loads_nothing_of_it() -> None:
+    code = "import sys, walkloom.__main__ as m; print({'click', 'rich', 'walkloom.cli'} & set(sys.modules))"
+    got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert got.stdout.strip() == "set()", got.stdout + got.stderr
+
+
+def test_an_import_prints_the_list(tmp_path: Path) -> None:
+    path = tmp_path / "workers.properties"
+    path.write_text("worker.list=a\nworker.a.host=10.0.0.1\nworker.a.port=8009\nworker.a.lbfactor=3\n")
+    got = program("import", str(path))
+    (server,) = orjson.loads(got.stdout)["instances"]
+    assert got.returncode == 0 and server["hostPort"] == "10.0.0.1:8009" and server["weight"] == 3
+
+
+def test_the_demonstration_survives_its_drain_and_its_crash() -> None:
+    views: list[View] = []
+    last = trio.run(Demo(8.0, views.append).run, clock=MockClock(autojump_threshold=0.002))
+    n = last.figures.counters
+    assert last.faults == () and n.lost == 0 and n.moved >= 5 and n.broken >= 5 and n.returned >= 10
+    assert [row.state for row in last.rows] == ["up", "draining", "cold", "up", "up"]
+    assert any(row.state == "crashed" for view in views for row in view.rows)
+    screen = io.StringIO()
+    Console(file=screen, width=110).print(_screen(last))
+    assert (
+        "s-1" in screen.getvalue()
+        and "draining" in screen.getvalue()
+        and "is back, cold" in screen.getvalue()
+    )
+    assert summary(last)[3].endswith(": 0") and "were lost" in summary(last)[1]
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -67,8 +67,8 @@
         if line.since and now - line.since < 8000.0:  # rule 4, this balancer's part
             sends = self.cold_sends.setdefault(a.server, [])
             sends.append(now)
-            # never more in a window than the multiple of what a server was seen to carry fills in it; the part
-            # of a send that is left over is drawn by chance, which may give one more
+            # never more in a window than the multiple of what a server was seen to carry fills in it; what is
+            # left of a send is drawn by chance, which may give one more
             most = 1.0 + FACTOR * self.carried() / 8000.0 * 1000.0
             assert sum(1 for t in sends if t > now - 1000.0) <= most
         self.out[a.id], self.sent_at[a.id] = a.server, now
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -49,6 +49,20 @@
 
 
 def main() -> int:
+    """With words: the command line. Without: what the platform starts, and nothing of the command line
+    loads."""
+    if len(sys.argv) == 1:
+        return serve()
+    if not find_spec("click"):
+        print("walkloom: the command line needs requirements-lab.txt", file=sys.stderr)
+        return 2
+    from walkloom import cli
+
+    cli.main(prog_name="walkloom")
+    return 0
+
+
+def serve() -> int:
     # guards against a SIGHUP before the receiver stands or after it is gone, which would end the program
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
--- /dev/null
+++ b/walkloom/cli/imports.py
@@ -0,0 +1,17 @@
+"""walkloom import: Apache's balancer and mod_jk's worker files as a list of servers."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.command("import")
+@click.argument("files", nargs=-1, required=True, type=click.Path())
+def command(files: tuple[str, ...]) -> None:
+    """Print the servers of FILES in the form of `known`; what could not be carried over goes to standard
+    error."""
+    from walkloom.importer import main
+
+    sys.exit(main(list(files)))
--- a/walkloom/client/core.py
+++ b/walkloom/client/core.py
@@ -475,9 +475,10 @@
     def _lines(self, session: Session, lines: list[str], now: float) -> None:
         if not lines:
             return
-        self._seen.counters.lines_received += len(lines)
+        before = len(session.inbox)
         for delay in session.lines(lines, now):
             self._seen.line(session.policy.name, delay)
+        self._seen.counters.lines_received += len(session.inbox) - before
         if session.state is State.AWAY:
             self._moved(session, now)
         self._commands.append(Wake(session))
--- a/walkloom/core.py
+++ b/walkloom/core.py
@@ -247,6 +247,11 @@
                 ticket.put(f.Move(ticket.id))
             await trio.sleep(0.05)
 
+    @property
+    def open_requests(self) -> int:
+        """Those on their way and those that stand."""
+        return len(self._tickets)
+
     @property
     def idle(self) -> bool:
         return not self._tickets
