Count a hinted load relative to the loads told, as the told ones are

Cause: decide.py took loads told (LOAD) over their mean, but a client's hint (h=, ms of work a second) as it came, so a hinted connection of 50 ms/s counted as fifty.

Change: a hint is divided by the mean of the loads told; before any was told it counts as the usual.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -711,3 +711,16 @@
             ids.remove(rid)
         rig.timers(100.0)
     assert not ids
+
+
+def test_a_hinted_load_counts_relative_to_those_told() -> None:
+    """Found by the simulator: a hint in ms of work a second counted as so many connections."""
+    rig = Rig()
+    rig.news(f.Server("a"))
+    rig.give(f.Request("hinted before", 0, rig.now + 3000.0, load=100.0))
+    assert rig.balancer.servers["a"].load == 1.0  # nothing to hold it against yet
+    first = rig.request()
+    rig.up(first)
+    rig.give(f.Note(first, 0, "a", f.NoteKind.LOAD, 50.0))
+    rig.give(f.Request("hinted", 0, rig.now + 3000.0, load=100.0))
+    assert rig.balancer.servers["a"].load == 1.0 + 1.0 + 2.0
--- a/walkloom/decide.py
+++ b/walkloom/decide.py
@@ -121,9 +121,8 @@
         self.outs, self.stale = list[_Server](), True  # the unusable ones; these three must be made anew
         self.requests: dict[f.Id, _Request] = {}  # answers owed and connections open
         self.held: dict[f.Id, _Request] = {}
-        self.holding = self.leaving = self.listed = self.strained = (
-            False  # timers out; a list has come; most jam
-        )
+        # timers out; a list has come; most jam
+        self.holding = self.leaving = self.listed = self.strained = False
         self.load = self.carried = self.count_at = 0.0  # own load, all together; what warm servers carry
         self.class_load = [1.0] * len(settings.classes)
         self.known: dict[f.Id, float] = {}  # told loads by client key, oldest first
@@ -387,7 +386,8 @@
             s.groups[r.req.group] = s.groups.get(r.req.group, 0) + 1
 
     def _load(self, req: f.Request) -> float:
-        return self.known.get(req.key, self.class_load[req.cls]) if req.load is None else req.load
+        known = self.known.get(req.key, self.class_load[req.cls])
+        return req.load / self.unit if req.load and self.unit else known  # relative, as those told
 
     def _uncount(self, r: _Request, s: _Server) -> None:
         r.server, s.conns, self.load = None, s.conns - 1, self.load - r.load
