--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -4,6 +4,7 @@
 
 import io
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -84,6 +85,16 @@
     assert got.stdout.strip() == "set()", got.stdout + got.stderr
 
 
+def test_a_load_tells_its_figures_in_lines_and_in_a_file(tmp_path: Path) -> None:
+    out = tmp_path / "load.json"
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+    got = call("lab", "load", address, "-p", "40:0.5", "--json", str(out))
+    report = orjson.loads(out.read_bytes())["report"]
+    assert got.exit_code == 0 and f"arrivals{'':<27}{report['arrivals']}" in got.output
+    assert report["unconnected"] == report["arrivals"] > 5 and report["setup"]["p99"] == 0.0
+
+
 def test_the_simulator_prints_a_row_for_each_size() -> None:
     got = call(
         "lab",
--- a/tests/client/scripted.py
+++ b/tests/client/scripted.py
@@ -18,7 +18,9 @@
 import selectors
 import socket
 import struct
-from collections.abc import Awaitable, Callable, Sequence
+import threading
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from fnmatch import fnmatchcase
 from typing import Any
@@ -227,3 +229,23 @@
     with asyncio.Runner(loop_factory=_JumpingLoop) as runner:
         runner.run(main())
     assert not any(b.faults for b in balancers), [b.faults for b in balancers]
+
+
+@contextmanager
+def served(balancer: Balancer) -> Iterator[None]:
+    """The balancer on a thread of its own, for a script that blocks."""
+    ready, done = threading.Event(), threading.Event()
+
+    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
+        ready.set()
+        while not done.is_set():
+            await kit.sleep(0.005)
+
+    thread = threading.Thread(target=run_asyncio, args=(body, balancer))
+    thread.start()
+    try:
+        assert ready.wait(10)
+        yield
+    finally:
+        done.set()
+        thread.join(10)
--- a/tests/client/test_drivers.py
+++ b/tests/client/test_drivers.py
@@ -6,14 +6,13 @@
 import subprocess
 import sys
 import textwrap
-import threading
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
-from tests.client.scripted import VIEW, Balancer, Body, Kit, run_asyncio, run_trio
+from tests.client.scripted import VIEW, Balancer, Body, Kit, run_asyncio, run_trio, served
 from walkloom.client import Failed, Interrupted, Refused, TimedOut, blocking
 from walkloom.client.errors import ClientError
 from walkloom.client.settings import Limits
@@ -219,31 +218,18 @@
 
 
 def test_the_blocking_form_in_a_script() -> None:
-    balancer, ready, done = Balancer([UP]), threading.Event(), threading.Event()
-
-    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
-        ready.set()
-        while not done.is_set():
-            await kit.sleep(0.005)
-
-    thread = threading.Thread(target=run_asyncio, args=(body, balancer))
-    thread.start()
-    assert ready.wait(10)
-    try:
-        with blocking.Client([balancer.address], [VIEW], Limits(lines_out=4)) as client:
-            with client.open("tile-view", tenant="t") as session:
-                session.send("a")
-                assert session.receive() == "a" and session.receipt == "7" and session.standing
-                with pytest.raises(TimeoutError):
-                    session.receive(timeout=0.01)
-                session.send("b")
-                assert next(session) == "b"
-            with pytest.raises(ValueError, match="no class"):
-                client.open("none")
-            assert client.figures().counters.up == 1
-    finally:
-        done.set()
-        thread.join(10)
+    balancer = Balancer([UP])
+    with served(balancer), blocking.Client([balancer.address], [VIEW], Limits(lines_out=4)) as client:
+        with client.open("tile-view", tenant="t") as session:
+            session.send("a")
+            assert session.receive() == "a" and session.receipt == "7" and session.standing
+            with pytest.raises(TimeoutError):
+                session.receive(timeout=0.01)
+            session.send("b")
+            assert next(session) == "b"
+        with pytest.raises(ValueError, match="no class"):
+            client.open("none")
+        assert client.figures().counters.up == 1
 
 
 def test_it_installs_without_the_balancer(tmp_path: Path) -> None:
--- a/tests/client/test_readme.py
+++ b/tests/client/test_readme.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import re
-import threading
-from collections.abc import Sequence
 from pathlib import Path
 
 import pytest
 
-from tests.client.scripted import Balancer, Kit, run_asyncio
+from tests.client.scripted import Balancer, served
 
 
 def test_the_readme_s_use_of_the_client_runs(capsys: pytest.CaptureFixture[str]) -> None:
@@ -17,19 +15,6 @@
     blocks = re.findall(r"```python\n(.*?)```", readme, re.S)
     (code,) = (block for block in blocks if "walkloom.client" in block)
     balancer = Balancer(["> UP 1\nexpect sheet 17\n> sheet 17 is here\nhold"])
-    ready, done = threading.Event(), threading.Event()
-
-    async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
-        ready.set()
-        while not done.is_set():
-            await kit.sleep(0.005)
-
-    thread = threading.Thread(target=run_asyncio, args=(body, balancer))
-    thread.start()
-    try:
-        assert ready.wait(10)
+    with served(balancer):
         exec(code.replace("127.0.0.1:9000", balancer.address), {})
-    finally:
-        done.set()
-        thread.join(10)
     assert capsys.readouterr().out == "sheet 17 is here\n" and "t=herb-serra" in balancer.opened[0]
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -11,8 +11,9 @@
 import trio
 from trio.testing import MockClock
 
+from walkloom.client.seen import Histogram
 from walkloom.lab import Fleet, Trouble
-from walkloom.lab.load import Load, Phase, Report, Times, arrivals, play
+from walkloom.lab.load import Load, Phase, Report, arrivals, play
 
 
 def against(body: Callable[[Fleet], Awaitable[Report]], servers: int = 1, **tile: float) -> Report:
@@ -116,4 +117,4 @@
     for part in parts:
         total.add(pickle.loads(pickle.dumps(part)))
     assert (total.arrivals, total.up, total.cpu_part, total.setup.count) == (5, 3, 0.5, 2)
-    assert total.setup.at(100) == pytest.approx(30.0, rel=0.02) and Times().at(99) == 0.0
+    assert total.setup.at(100) == pytest.approx(30.0, rel=0.02) and Histogram().at(99) == 0.0
--- a/walkloom/cli/lab.py
+++ b/walkloom/cli/lab.py
@@ -49,7 +49,8 @@
     """
     import orjson
 
-    from walkloom.lab.load import Load, LoadError, Phase, Times, run
+    from walkloom.client.seen import Histogram
+    from walkloom.lab.load import Load, LoadError, Phase, run
 
     try:
         asked = Load(addresses, tuple(map(Phase.parse, phases)), life, line_every, processes, open_most, seed)
@@ -61,7 +62,7 @@
     if out:
         flat = {
             name: {f"p{p:g}": value.at(p) for p in (50, 90, 99, 99.9, 100)}
-            if isinstance(value, Times)
+            if isinstance(value, Histogram)
             else value
             for name, value in vars(report).items()
         }
--- a/walkloom/client/seen.py
+++ b/walkloom/client/seen.py
@@ -59,17 +59,33 @@
 
 
 class Histogram:
+    """Delays in ms, to two digits; may be sent between processes and added up."""
+
     def __init__(self) -> None:
         self._of = HdrHistogram(1, _LONGEST_US, _DIGITS)
 
     def add(self, ms: float) -> None:
         self._of.record_value(max(min(int(ms * 1000.0), _LONGEST_US), 1))
 
+    def merge(self, other: Histogram) -> None:
+        self._of.add(other._of)
+
+    @property
+    def count(self) -> int:
+        return int(self._of.get_total_count())
+
+    def at(self, percentile: float) -> float:
+        """Ms; 0.0 where nothing was counted."""
+        return float(self._of.get_value_at_percentile(percentile)) / 1000.0 if self.count else 0.0
+
     def spread(self) -> Spread:
-        p50, p90, p99, most = (
-            self._of.get_value_at_percentile(p) / 1000.0 for p in (50.0, 90.0, 99.0, 100.0)
-        )
-        return Spread(self._of.get_total_count(), p50, p90, p99, most)
+        return Spread(self.count, self.at(50.0), self.at(90.0), self.at(99.0), self.at(100.0))
+
+    def __getstate__(self) -> bytes:
+        return bytes(self._of.encode())
+
+    def __setstate__(self, state: bytes) -> None:
+        self._of = HdrHistogram.decode(state)
 
 
 @dataclass(slots=True)
--- a/walkloom/lab/load.py
+++ b/walkloom/lab/load.py
@@ -19,14 +19,13 @@
 from random import Random
 
 import trio
-from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
+from walkloom.client.seen import Histogram
 from walkloom.lab.settings import CLASSES, TENANTS, LabClass
 from walkloom.net.lines import LineError, Lines
 
 LATE_MS = 10.0  # a tool that begins one arrival in a hundred later than this is too slow for its load
 BUSY_PART = 0.9  # of a core, by one of its processes: the same
-_LONGEST_US, _DIGITS = 600_000_000, 2
 _PHASE = re.compile(r"([0-9.]+)(?:-([0-9.]+))?:([0-9.]+)")
 
 
@@ -60,7 +59,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """What is sent. Times in s; open_most: connections at a time in all processes, beyond which arrivals are
+    """What is sent. Histogram in s; open_most: connections at a time in all processes, beyond which
+    arrivals are
     counted as unsent."""
 
     addresses: tuple[str, ...]
@@ -85,30 +85,6 @@
         return sum(phase.seconds for phase in self.phases)
 
 
-class Times:
-    """A histogram of delays that may be sent between processes."""
-
-    def __init__(self) -> None:
-        self.of = HdrHistogram(1, _LONGEST_US, _DIGITS)
-
-    def add(self, ms: float) -> None:
-        self.of.record_value(max(min(int(ms * 1000.0), _LONGEST_US), 1))
-
-    def at(self, percentile: float) -> float:
-        """Ms; 0.0 where nothing was counted."""
-        return float(self.of.get_value_at_percentile(percentile)) / 1000.0 if self.count else 0.0
-
-    @property
-    def count(self) -> int:
-        return int(self.of.get_total_count())
-
-    def __getstate__(self) -> bytes:
-        return bytes(self.of.encode())
-
-    def __setstate__(self, state: bytes) -> None:
-        self.of = HdrHistogram.decode(state)
-
-
 @dataclass
 class Report:
     """What came of a load; of one process, or of all."""
@@ -125,16 +101,16 @@
     broken: int = 0  # ended without MOVE or BYE
     lines: int = 0
     unanswered: int = 0
-    setup: Times = field(default_factory=Times)
-    line: Times = field(default_factory=Times)
-    late: Times = field(default_factory=Times)  # how late the tool began its arrivals
+    setup: Histogram = field(default_factory=Histogram)
+    line: Histogram = field(default_factory=Histogram)
+    late: Histogram = field(default_factory=Histogram)  # how late the tool began its arrivals
     cpu_part: float = 0.0  # of a core; the busiest process
 
     def add(self, other: Report) -> None:
         for each in fields(self):
             mine, theirs = getattr(self, each.name), getattr(other, each.name)
-            if isinstance(mine, Times):
-                mine.of.add(theirs.of)
+            if isinstance(mine, Histogram):
+                mine.merge(theirs)
             elif each.name == "cpu_part":
                 self.cpu_part = max(mine, theirs)
             else:
@@ -166,7 +142,7 @@
 
 
 def arrivals(phases: Sequence[Phase], part: float, rng: Random) -> Iterator[float]:
-    """Times in s, drawn ahead: a Poisson process whose rate follows the phases, by thinning."""
+    """Histogram in s, drawn ahead: a Poisson process whose rate follows the phases, by thinning."""
     begin = 0.0
     for phase in phases:
         most = max(phase.first, phase.last) * part
