--- a/walkloom/cli/demo.py
+++ b/walkloom/cli/demo.py
@@ -70,7 +70,7 @@
     n = view.figures.counters
     balancers = ", ".join(f"{name} {count}" for name, count in view.balancers)
     told = Text(
-        f"standing {view.figures.standing} (balancers: {balancers})   up {n.up}   refused {n.refused}   "
-        f"failed {n.failed}   moved {n.moved}   came back {n.returned}   rules broken {len(view.faults)}"
+        f"standing {view.figures.standing} (balancers: {balancers}); rules broken {len(view.faults)}\n"
+        f"up {n.up}, refused {n.refused}, failed {n.failed}, moved {n.moved}, came back {n.returned}"
     )
     return Group(table, told, *(Text(event, "dim") for event in view.events))
