--- a/tests/lab/test_sim.py
+++ b/tests/lab/test_sim.py
@@ -57,21 +57,21 @@
 
     def __init__(self, fault: str) -> None:
         super().__init__(replace(SMALL, list_ms=0.0, drains=0.5))
-        self.fault, self.done = fault, False
+        self.breaks, self.done = fault, False
 
     def _act(self, number: int, action: f.Action) -> None:
         if isinstance(action, f.Send) and not self.done:
             drained = [i for i, at in self._told[number].items() if self.now > at + 600.0]
-            if self.fault == "late" and drained:
+            if self.breaks == "late" and drained:
                 self.done = True
                 return super()._act(number, action._replace(server=drained[0]))
-            if self.fault == "twice":
+            if self.breaks == "twice":
                 self.done = True
                 super()._act(number, action)
-            if self.fault == "silent":
+            if self.breaks == "silent":
                 self.done = True
                 return None
-            if self.fault == "answered":
+            if self.breaks == "answered":
                 self.done = True
                 super()._act(number, f.Refuse(action.id))
         return super()._act(number, action)
--- a/walkloom/decide.py
+++ b/walkloom/decide.py
@@ -28,7 +28,7 @@
 T_HOLD, T_WATCH, T_LEAVE, T_ASK = 1, 2, 3, 4  # timer tokens
 WATCH_MS, CALL_MS, CALLS_MS = 200.0, 250.0, 2000.0  # least pause before a call for the list; its time; queue
 REPORT_MS, NEW_MS, ASK_MS = 3000.0, 300.0, 60.0  # a report is believed; spares another; is waited for
-LOAD_FULL, LOAD_MOST = 0.65, 0.95  # loads from which a server is passed over, and beyond which none is used
+LOAD_FULL, LOAD_MOST, GROUP_LOADS = 0.65, 0.95, 3.0  # passed over from; none used beyond; a group's cost
 COST_STEP, COST_HELD, QUOTA_PART = 0.1, 4.0, 0.85  # of what a connection adds; shares ask so much of a fleet
 HOMES, FEW, SKEW, FAR_LOAD = 2, 12, 4.0, 0.2  # of a group; a small sample; of homes; how much freer far
 LEAVE_MS, LEAVE_PART, LAG_MS = 100.0, 0.2, 400.0  # pace off a draining server; how old a report may be
@@ -257,11 +257,12 @@
     def _with(self, r: _Request, s: _Server) -> float:
         """Load over capacity with this request: as told, and what was placed since, which no report tells."""
         cost, since = s.cost or self.cost / s.size, s.told_at - LAG_MS
+        own = self._load(r.req) + GROUP_LOADS / self.crowd * (r.req.group not in (None, *s.groups))
         if not self.probes or self.now - s.told_at > REPORT_MS:
-            return (s.load * self.probes + self._load(r.req)) * cost
+            return (s.load * self.probes + own) * cost
         # guards against forty balancers with a comer each: what this one placed unseen, all of them did
         unseen = self.crowd * sum(load for at, load in s.fresh if at > since)
-        return s.x0 + (unseen + self._load(r.req)) * cost
+        return s.x0 + (unseen + own) * cost
 
     def _look(self, r: _Request, pool: _Pool, tried: set[f.Id]) -> tuple[_Server, list[_Server]]:
         """The first and those with room of what this request may draw: the homes of its group, else any."""
@@ -270,7 +271,7 @@
             # departure: all balancers draw the same few homes, as each holder pays; more for a large group
             part = pool.homes(crc32(repr(r.req.group).encode()))
             own = sum(s.groups.get(r.req.group, 0) for s in part) / (len(self.requests) + FEW)
-            part = part[: HOMES + int(len(pool.servers) * own)]
+            part = part[: HOMES + int(len(pool.servers) * own)] if self.crowd >= 2 else part
         elif len(part) > LOOKS:  # some, the same at each look of a request: those that were asked for it
             r.lot = r.lot or self.rng.random()
             part = Random(r.lot).sample(part, LOOKS)
@@ -309,18 +310,17 @@
 
     def _room(self, s: _Server) -> bool:
         """Rule 4: this balancer's part of what a cold server may be sent within one window."""
-        warmth, window, zones = self._warmth(s), self.set.overload_for, self.set.zones
+        warmth, window, rest = self._warmth(s), self.set.overload_for, self.set.zones - 1
         if self.now < s.choked_till or warmth >= 1.0 or not self.set.overload_factor:
             return self.now >= s.choked_till
         since = self.now - max(s.looked, s.since)
         if s.quota <= 0 or since >= window:
             # guards against the sum of many balancers' parts: below one send by chance, saved for one window
-            far = (1 - HOME_PART) / max(zones - 1, 1)
-            part = 1.0 if zones < 2 else HOME_PART if s.zone == self.set.zone else far
+            part = 1.0 if rest < 1 else HOME_PART if s.zone == self.set.zone else (1 - HOME_PART) / rest
             rate = self.set.overload_factor * warmth * self._carried() * s.size / self.set.cold
             most = part * max(rate, 1 / self.set.balancers / window) * min(since, window)
             if self.probes:  # departure: where reports bound a burst too, shared by those that may want it
-                most /= max(SKEW * self.lately / max(len(self.home.servers), 1), most, 1e-9)
+                most = max(most, min(most * len(self.home.servers) / max(SKEW * self.lately, 1e-9), 1.0))
             s.looked, s.quota = self.now, int(most + self.rng.random())
         return s.quota > 0
 
--- a/walkloom/lab/sim.py
+++ b/walkloom/lab/sim.py
@@ -10,8 +10,9 @@
 every action, with each balancer's own knowledge: at most three attempts, never two at once, one final answer
 before the deadline, nothing 500 ms after a drain was told.
 
-What the model leaves out: sockets and their limits, the CPU of a balancer, zones, groups, lost packets, and
-the set-ups a second in a load report (told as 0; the module reads load and connections).
+What the model leaves out: sockets and their limits, the CPU of a balancer, lost packets, and the set-ups a
+second in a load report (told as 0; the module reads load and connections). Zones, groups and restarts of
+balancers are in `walkloom.lab.rollout`.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from typing import Any
 
@@ -97,6 +98,7 @@
     busy_until: float = 0.0
     load: float = 0.0
     since: float = 0.0
+    zone: int = 0
     held: dict[int, Client] = field(default_factory=dict)
 
 
@@ -108,6 +110,8 @@
     tenant: int
     load: float
     until: float  # ms; wants it no longer
+    zone: int = 0
+    group: int = 0  # 0: none
     tries: int = 0
     returned: bool = False
     # the request that is open, if any
@@ -132,7 +136,7 @@
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._number = self._rid = 0
         self._cpu = 0.0
-        settings = f.Settings(
+        self.settings = f.Settings(
             classes=tuple(
                 f.RequestClass(aim=c.aim_ms, worth=c.worth, message_aim=c.message_ms) for c in CLASSES
             ),
@@ -141,12 +145,10 @@
             overload_factor=4.0, max_attempts=ATTEMPTS, may_probe=True, tells_delay=False, load_field=2,
             held_field=1, quota=float(experiment.servers * experiment.fill), tick=2.0, max_retry_after=1500.0,
         )  # fmt: skip
-        self.servers = {
-            name: Server(name, experiment.fill * 3) for name in (f"s-{n}" for n in range(experiment.servers))
-        }
-        self.balancers = [
-            Balancer(settings, seed=experiment.seed * 1000 + n) for n in range(experiment.balancers)
-        ]
+        self.servers: dict[str, Server] = {}
+        for _ in range(experiment.servers):
+            self.add_server()
+        self.balancers = [self.balancer(n, n) for n in range(experiment.balancers)]
         self._watching = [False] * experiment.balancers
         self._told: list[dict[f.Id, float]] = [{} for _ in range(experiment.balancers)]
         self._open: dict[int, Client] = {}  # by request
@@ -154,20 +156,46 @@
         self._wanted = self._got = 0.0
         self._spreads: list[float] = []
 
+    def add_server(self, zone: int = 0, since: float = 0.0) -> Server:
+        server = Server(f"s-{len(self.servers)}", self.e.fill * 3, since=since, zone=zone)
+        self.servers[server.id] = server
+        return server
+
+    def balancer(self, number: int, process: int) -> Balancer:
+        """A new process of this balancer."""
+        settings = replace(self.settings, zone=number % self.settings.zones)
+        return Balancer(settings, seed=self.e.seed * 1000 + process)
+
+    def front(self, client: Client) -> int:
+        """The balancer that the client reaches."""
+        return int(self.rng.integers(self.e.balancers))
+
+    def line(self, server: Server) -> f.Server:
+        state = f.State.DRAINING if server.draining else f.State.READY if server.up else f.State.GONE
+        return f.Server(server.id, server.zone, state=state, since=server.since)
+
+    def asked(self, server: Server) -> float:
+        """The load asked of a server, over what it can do now."""
+        return server.load
+
+    def report(self, server: Server) -> tuple[float, float, float] | None:
+        """What it answers to a probe: set-ups, connections, load; None: nothing."""
+        return (0.0, float(len(server.held)), server.load) if server.up else None
+
     def at(self, when: float, what: Callable[..., None], *args: Any) -> None:
         self._number += 1
         heappush(self._heap, (when, self._number, what, args))
 
     def run(self) -> Result:
         wall = time.perf_counter()
-        lines = tuple(f.Server(name) for name in self.servers)
+        lines = tuple(self.line(server) for server in self.servers.values())
         for number in range(self.e.balancers):
             self._tell(number, f.ServerList(f.ListKind.CACHED, lines))
             self._tell(number, f.ServerList(f.ListKind.FULL, lines))
-        for when, client in self._arrivals():
+        for when, client in self.arrivals():
             self.at(when, self._come, client)
-        self._story()
-        self.at(self.now + LOOK_MS, self._look)
+        self.story()
+        self.at(self.now + LOOK_MS, self.look)
         while self._heap and self._heap[0][0] <= self._end:
             self.now, _, what, args = heappop(self._heap)
             what(*args)
@@ -178,7 +206,7 @@
         r.wall_s = time.perf_counter() - wall
         return r
 
-    def _arrivals(self) -> Iterator[tuple[float, Client]]:
+    def arrivals(self) -> Iterator[tuple[float, Client]]:
         n = int(self.rng.poisson(self.e.rate * self.e.servers * self.e.seconds))
         times = np.sort(self.rng.uniform(self._begin, self._end, n))
         lives = self.rng.exponential(self.e.life_s * 1000.0, n)
@@ -190,12 +218,12 @@
             when = float(times[i])
             yield when, Client(int(kinds[i]), int(tenants[i]), float(loads[i]), when + float(lives[i]))
 
-    def _story(self) -> None:
+    def story(self) -> None:
         names = list(self.servers)
         chosen = [names[i] for i in self.rng.permutation(len(names))]
         length = self._end - self._begin
         for share, part, what in (
-            (self.e.drains, 1 / 3, self._drain),
+            (self.e.drains, 1 / 3, self.drain),
             (self.e.crashes, 1 / 2, self._crash),
             (self.e.failing, 2 / 3, self._fail),
         ):
@@ -211,7 +239,7 @@
             return
         self._clients.add(client)
         self._rid += 1
-        client.rid, client.where = self._rid, int(self.rng.integers(self.e.balancers))
+        client.rid, client.where = self._rid, self.front(client)
         client.deadline = self.now + CLASSES[client.cls].give_up_ms
         client.attempts, client.out, client.server, client.over = 0, None, None, False
         self._open[client.rid] = client
@@ -220,19 +248,19 @@
             client.where,
             f.Request(
                 client.rid, client.cls, client.deadline, client.tenant, load=client.load * 1000.0,
-                repeat=client.tries > 0, returned=client.returned,
+                repeat=client.tries > 0, returned=client.returned, group=client.group or None,
             ),
         )  # fmt: skip
 
     def _overdue(self, client: Client, rid: int) -> None:
         if client.rid == rid and not client.over and client.server is None:
-            self._fault(f"request {rid} has no final answer {ANSWER_MS:.0f} ms after its deadline")
-            self._answered(client, "none", 0.0)
+            self.fault(f"request {rid} has no final answer {ANSWER_MS:.0f} ms after its deadline")
+            self.answered(client, "none", 0.0)
 
-    def _answered(self, client: Client, word: str, retry_after: float) -> None:
+    def answered(self, client: Client, word: str, retry_after: float) -> None:
         """Refused or failed: the client comes again, or gives up for good."""
         if client.over:
-            return self._fault(f"request {client.rid} was answered twice")
+            return self.fault(f"request {client.rid} was answered twice")
         client.over = True
         self.result.answers[word] += 1
         self._open.pop(client.rid, None)
@@ -243,7 +271,7 @@
         else:  # it still wants its connection, and gets nothing
             self.at(client.until, self._clients.discard, client)
 
-    def _return(self, client: Client) -> None:
+    def come_back(self, client: Client) -> None:
         """Moved or broken: it comes again after a moment."""
         self._open.pop(client.rid, None)
         client.over, client.returned, client.tries, client.server = True, True, 0, None
@@ -271,14 +299,14 @@
             case f.Send():
                 self._send(number, action)
             case f.Refuse() if client := self._open.get(action.id):  # type: ignore[call-overload]
-                self._answered(client, "refused", action.retry_after)
+                self.answered(client, "refused", action.retry_after)
             case f.Fail() if client := self._open.get(action.id):  # type: ignore[call-overload]
-                self._answered(client, "failed", 0.0)
+                self.answered(client, "failed", 0.0)
             case f.Move() if client := self._open.get(action.id):  # type: ignore[call-overload]
                 if client.server is not None:
                     self.result.moves += 1
-                    self._leave(client, f.Status.CANCELLED)
-                    self._return(client)
+                    self.leave(client, f.Status.CANCELLED)
+                    self.come_back(client)
             case f.SetTimer():
                 self.at(max(action.at, self.now + 0.001), self._tell, number, f.Timer(action.token))
             case f.Probe():
@@ -288,23 +316,22 @@
                 self._watching[number] = action.on
 
     def _probed(self, number: int, server: Server) -> None:
-        if server.up:
-            report = (0.0, float(len(server.held)), server.load)
+        if (report := self.report(server)) is not None:
             self._tell(number, f.ProbeResult(server.id, f.Status.OK, 2 * WAY_MS, report))
 
     def _send(self, number: int, action: f.Send) -> None:
         client = self._open.get(action.id)  # type: ignore[call-overload]
         self.result.attempts += 1
         if client is None or client.over or client.where != number:
-            return self._fault(f"sent request {action.id}, which is not open there")
+            return self.fault(f"sent request {action.id}, which is not open there")
         if client.out is not None or client.server is not None:
-            self._fault(f"two attempts at once: request {client.rid}")
+            self.fault(f"two attempts at once: request {client.rid}")
         client.attempts += 1
         if client.attempts > ATTEMPTS:
-            self._fault(f"attempt {client.attempts} of request {client.rid}")
+            self.fault(f"attempt {client.attempts} of request {client.rid}")
         told = self._told[number].get(action.server)
         if told is not None and self.now > told + DRAIN_MS:
-            self._fault(f"sent to {action.server} {self.now - told:.0f} ms after its drain was told")
+            self.fault(f"sent to {action.server} {self.now - told:.0f} ms after its drain was told")
         server = self.servers[str(action.server)]
         client.out, client.sent_at = server, self.now
         attempt = client.attempts
@@ -318,6 +345,8 @@
         if not self._is_out(client, rid, attempt):
             return
         status = None
+        if not self.takes(server):
+            return
         if not server.up:
             status = f.Status.CONNECT_FAILED
         elif server.draining or len(server.held) >= server.slots:
@@ -330,6 +359,10 @@
         server.busy_until = max(server.busy_until, self.now) + self.e.setup_ms * max(server.load, 1.0)
         self.at(server.busy_until + WAY_MS, self._up, client, rid, attempt, server)
 
+    def takes(self, server: Server) -> bool:
+        """An attempt came to a server; False: it hangs, and nothing comes back."""
+        return True
+
     def _is_out(self, client: Client, rid: int, attempt: int) -> bool:
         return client.rid == rid and client.attempts == attempt and client.out is not None and not client.over
 
@@ -339,8 +372,7 @@
         if not server.up or server.draining:
             return self._ended(client, rid, attempt, f.Status.RESET)
         client.out, client.server = None, server
-        server.held[rid] = client
-        server.load += client.load
+        self.hold(server, client)
         self.result.answers["up"] += 1
         self._tell(client.where, f.Established(rid, attempt - 1, server.id, self.now - client.sent_at))
         if client.server is server:
@@ -348,20 +380,39 @@
             self._tell(client.where, note)
             self.at(max(client.until, self.now), self._served, client, rid)
 
+    def hold(self, server: Server, client: Client) -> None:
+        server.held[client.rid] = client
+        server.load += client.load
+
+    def let_go(self, server: Server, client: Client) -> None:
+        del server.held[client.rid]
+        server.load = (
+            sum(c.load for c in server.held.values()) if len(server.held) < 2 else server.load - client.load
+        )
+
+    def stands(self, client: Client, server: Server) -> None:
+        """One that stood before the run."""
+        self._rid += 1
+        client.rid, client.where = self._rid, self.front(client)
+        client.attempts, client.server, client.sent_at = 1, server, self.now
+        self._open[client.rid] = client
+        self._clients.add(client)
+        self.hold(server, client)
+        request = f.Request(client.rid, client.cls, client.until, client.tenant, group=client.group or None)
+        self._tell(client.where, f.Adopted(request, server.id))
+        self.at(max(client.until, self.now), self._served, client, client.rid)
+
     def _served(self, client: Client, rid: int) -> None:
         if client.rid == rid and client.server is not None:
-            self._leave(client, f.Status.OK)
+            self.leave(client, f.Status.OK)
             self._open.pop(rid, None)
             self._clients.discard(client)
 
-    def _leave(self, client: Client, status: f.Status) -> None:
+    def leave(self, client: Client, status: f.Status) -> None:
         """A connection that stood ends; the balancer is told."""
         server = client.server
         assert server
-        del server.held[client.rid]
-        server.load = (
-            sum(c.load for c in server.held.values()) if len(server.held) < 2 else server.load - client.load
-        )
+        self.let_go(server, client)
         client.server = None
         client.over = True
         outcome = f.Outcome(
@@ -376,27 +427,27 @@
             elapsed = self.now - client.sent_at
             self._tell(client.where, f.Outcome(rid, attempt - 1, server.id, status, elapsed))
 
-    def _listed(self, server: Server, state: f.State) -> None:
+    def listed(self, server: Server, state: f.State) -> None:
         """The registry tells all watchers, late."""
-        line = f.Server(server.id, state=state, since=server.since)
+        line = self.line(server)._replace(state=state)
         for number in range(self.e.balancers):
             late = self.e.list_ms + float(self.rng.uniform(0.0, 50.0))
             self.at(self.now + late, self._tell, number, f.ServerList(f.ListKind.DELTA, (line,)))
 
-    def _drain(self, server: Server) -> None:
+    def drain(self, server: Server) -> None:
         server.draining = True
-        self._listed(server, f.State.DRAINING)
+        self.listed(server, f.State.DRAINING)
         self._send_away(server, f.Status.CANCELLED)
 
     def _crash(self, server: Server) -> None:
         server.up = False
-        self._listed(server, f.State.GONE)
+        self.listed(server, f.State.GONE)
         self._send_away(server, f.Status.RESET)
 
     def _send_away(self, server: Server, status: f.Status) -> None:
         for client in list(server.held.values()):
-            self._leave(client, status)
-            self._return(client)
+            self.leave(client, status)
+            self.come_back(client)
 
     def _fail(self, server: Server) -> None:
         server.failing = True
@@ -408,15 +459,14 @@
 
     # What is seen
 
-    def _look(self) -> None:
+    def look(self) -> None:
         wanted = sum(CLASSES[c.cls].worth for c in self._clients)
         got, loads = 0.0, []
         for server in self.servers.values():
             if not server.up or server.draining:
                 continue
-            loads.append(server.load)
-            worth = sum(CLASSES[c.cls].worth for c in server.held.values())
-            got += worth * min(1.0, 1.0 / server.load) if server.load > 0 else 0.0
+            loads.append(self.asked(server))
+            got += sum(CLASSES[c.cls].worth for c in server.held.values()) * self.in_time(server)
         self._wanted += wanted
         self._got += got
         r = self.result
@@ -425,9 +475,13 @@
         r.peak = max(r.peak, max(loads, default=0.0))
         if loads and (mean := float(np.mean(loads))) > 0:
             self._spreads.append(float(np.std(loads)) / mean)
-        self.at(self.now + LOOK_MS, self._look)
+        self.at(self.now + LOOK_MS, self.look)
+
+    def in_time(self, server: Server) -> float:
+        """The share of messages that it answers in time."""
+        return min(1.0, 1.0 / server.load) if server.load > 0 else 1.0
 
-    def _fault(self, text: str) -> None:
+    def fault(self, text: str) -> None:
         self.result.faults_in_all += 1
         if len(self.result.faults) < FAULTS_MOST:
             self.result.faults.append(f"{self.now - self._begin:.0f} ms: {text}")
