--- a/tests/characterisation/policy_plants.py
+++ b/tests/characterisation/policy_plants.py
@@ -39,7 +39,7 @@
         "        if status in FAILURES or status is f.Status.FULL:\n",
     ),
     "trials of requests that are not idempotent": (
-        "if not self.outs or r.attempts or self.set.classes[r.req.cls].effect is not f.Effect.SAFE:",
+        "if not self.outs or r.attempts or r.request_class.effect is not f.Effect.SAFE:",
         "if not self.outs or r.attempts:",
     ),
     "own zone not preferred": (
@@ -63,7 +63,10 @@
         "return [s for s in room if self.now - s.told_at <= NEW_MS + ASK_MS] or room",
         "return room",
     ),
-    "groups have no homes": ("part = pool.homes(crc32(repr(r.req.group).encode()))", "part = pool.servers"),
+    "groups have no homes": (
+        "part = pool.homes(crc32(repr(r.req.group).encode()), RING)",
+        "part = pool.servers",
+    ),
     "requests that wait are not ended at shutdown": (
         "        for r in [*self.held.values(), *self.asking.values()]:\n            self._end(r)",
         "",
--- a/walkloom/decide.py
+++ b/walkloom/decide.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from bisect import bisect
 from collections.abc import Callable
-from math import exp, log
+from math import exp
 from random import Random
 from typing import Any
 from zlib import crc32
 
 from walkloom import interface as f
+from walkloom.state import EndpointPool, EndpointState, RequestState, split_by_zone
 
 FAIL_STEP, FAIL_OUT = 0.3, 0.5  # weight of the newest set-up in the failure share; unusable from this share
 TRIAL_MS, TRIAL_MAX_MS = 1000.0, 8000.0  # first and longest pause before a trial; doubles after a failed one
@@ -36,84 +36,16 @@
 FAILURES = (f.Status.ERROR, f.Status.TIMEOUT, f.Status.CONNECT_FAILED, f.Status.RESET)
 
 
-class _Server:
-    """What this balancer knows of one server, from its own list and traffic; the class holds the defaults."""
-
-    size = idle = 1.0  # as the list rates it; its live weight: size over all that is held
-    told = -1.0  # when this balancer was told that it drains or is gone; -1: it is ready
-    late_at = slow_at = choked_till = ramp_from = -1e12
-    conns, load = 0, 0.0  # own attempts and open connections here; their load, where known
-    looked, quota = -1e12, 0  # cold budget: when the own part was drawn, and sends left of it
-    x0 = told_at = asked_at = cost = 0.0  # load over capacity; told, asked for; what a connection adds to it
-    failing, out, trying, clean, trial_at, trial_ms = 0.0, False, False, 0, 0.0, TRIAL_MS
-
-    def __init__(self, line: f.Server) -> None:
-        self.id, self.zone, self.cell = line.id, line.zone, line.cell
-        self.state, self.since, self.salt = line.state, line.since, crc32(repr(line.id).encode())
-        self.groups: dict[f.Id, int] = {}
-        self.fresh: list[tuple[float, float]] = []  # when and with what load the newest were placed here
-
-    def forget(self, ramp_from: float) -> None:
-        self.failing, self.out, self.trying, self.clean = 0.0, False, False, 0
-        self.trial_at, self.trial_ms, self.ramp_from = 0.0, TRIAL_MS, ramp_from
-
-    def renew(self, since: float) -> None:
-        """A new process under the old id: no report or jam of the old one holds."""
-        self.forget(since)
-        self.x0 = self.told_at = self.cost = 0.0
-        self.slow_at = self.late_at = self.choked_till = -1e12
-
-
-def _mixed(x: int) -> int:
-    """28 bits of a hash that is not linear: a linear one gave some servers 300 times the groups of others."""
-    x = x * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-    return (x ^ x >> 32) * 0xD6E8FEB86659FD93 >> 32 & 0xFFFFFFF
-
-
-class _Pool:
-    """Servers of one tier, at home or in other zones, on a ring by their salts."""
-
-    def __init__(self, servers: list[_Server]) -> None:
-        self.servers = sorted(servers, key=lambda s: s.salt)
-        self.salts = [s.salt for s in self.servers]
-        self.size = sum(s.size for s in servers)
-
-    def homes(self, salt: int) -> list[_Server]:
-        """A group's homes, large ones rather first: alike at all balancers, whatever servers come and go."""
-        servers, n = self.servers, len(self.servers)
-        if n > RING:
-            at = bisect(self.salts, _mixed(salt) << 4)
-            servers = servers[at : at + RING] + servers[: max(at + RING - n, 0)]
-        return sorted(servers, key=lambda s: -log((_mixed(salt ^ s.salt) | 1) / 0x10000000) / s.size)
-
-
-def _split(tier: list[_Server], zone: int) -> tuple[_Pool, _Pool]:
-    return _Pool([s for s in tier if s.zone == zone]), _Pool([s for s in tier if s.zone != zone])
-
-
-class _Request:
-    """A request this balancer owes an answer for, or whose connection it holds."""
-
-    def __init__(self, req: f.Request) -> None:
-        self.lot, self.req, self.attempts, self.sent_at, self.load = 0.0, req, 0, 0.0, 0.0
-        self.server: _Server | None = None  # where the attempt that is out, or the connection, is
-        self.tried: set[f.Id] = set()
-        self.open = self.trial = self.over = False
-        self.asked, self.ask_till, self.waits = 0, 0.0, set[f.Id]()  # rounds of reports; awaited till, from
-        self.ran_at = -1.0  # when the first attempt that may have run was sent, and where
-        self.ran_on: _Server | None = None
-
-
 class Balancer:
     """One balancer: handle(event, now) returns the actions to carry out, in order."""
 
     def __init__(self, settings: f.Settings, seed: int) -> None:
         self.set, self.rng, self.now, self.most = settings, Random(seed), 0.0, settings.max_attempts
-        self.servers: dict[f.Id, _Server] = {}
-        self.home = self.far = _Pool([])  # the usable servers that do not drain: of the own zone, of others
-        self.outs, self.stale = list[_Server](), True  # the unusable ones; these three must be made anew
-        self.requests, self.out = dict[f.Id, _Request](), list[f.Action]()  # answers owed, connections open
-        self.held, self.asking = dict[f.Id, _Request](), dict[f.Id, _Request]()  # for room; for reports
+        self.servers: dict[f.Id, EndpointState] = {}
+        self.home = self.far = EndpointPool([])  # the usable servers that do not drain: own zone, others
+        self.outs, self.stale = list[EndpointState](), True  # the unusable ones; these three must be remade
+        self.requests, self.out = dict[f.Id, RequestState](), list[f.Action]()  # answers owed, those open
+        self.held, self.asking = dict[f.Id, RequestState](), dict[f.Id, RequestState]()  # room; reports
         self.crowd = max(settings.balancers / max(settings.zones, 1), 1.0)  # that use the same servers
         self.holding = self.leaving = self.listed = self.strained = False  # timers out; listed; most jam
         self.load = self.carried = self.count_at = 0.0  # own load, all together; what warm servers carry
@@ -163,7 +95,7 @@
         if s is None:
             if line.state is f.State.GONE:
                 return
-            s, self.stale = _Server(line), True
+            s, self.stale = EndpointState(line), True
             self.servers[line.id] = s
             if self.listed:  # guards against a grace begun anew: one back as draining may have drained before
                 s.ramp_from, s.told = self.now, max(self.now - self.set.drain_grace, 0.0)
@@ -175,7 +107,7 @@
         s.size, s.idle = (1.0, weight) if self.set.live_weights else (weight, 1.0)  # live: not for rule 4
         self._told(s, line.state)
 
-    def _told(self, s: _Server, state: f.State) -> None:
+    def _told(self, s: EndpointState, state: f.State) -> None:
         if state is not s.state or (s.told < 0) != (state is f.State.READY):
             s.state, self.stale = state, True
             s.told = -1.0 if state is f.State.READY else self.now if s.told < 0 else s.told
@@ -183,7 +115,7 @@
                 self.leaving = True
                 self.out.append(f.SetTimer(self.now + LEAVE_MS, T_LEAVE))
 
-    def _failed(self, s: _Server) -> None:
+    def _failed(self, s: EndpointState) -> None:
         s.failing += FAIL_STEP * (1.0 - s.failing)
         if s.out:
             s.clean, s.trial_ms = 0, min(s.trial_ms * 2, TRIAL_MAX_MS)
@@ -193,7 +125,7 @@
             s.clean, s.trial_ms, s.trial_at = 0, TRIAL_MS, self.now + TRIAL_MS
             self.out.append(f.Log("unusable: set-ups failed, only trials until some are clean", s.id))
 
-    def _worked(self, s: _Server, trial: bool) -> None:
+    def _worked(self, s: EndpointState, trial: bool) -> None:
         s.failing *= 1.0 - FAIL_STEP
         if s.out and trial:
             s.clean, s.trial_at = s.clean + 1, self.now + TRIAL_NEXT_MS
@@ -201,21 +133,21 @@
                 s.forget(self.now)
                 self.stale = True
 
-    def _pools(self, r: _Request) -> tuple[_Pool, _Pool]:
+    def _pools(self, r: RequestState) -> tuple[EndpointPool, EndpointPool]:
         """The first tier that has a usable member, over the whole list: its home servers, and the others."""
         if self.stale:
             self.stale = False
             self.servers = {k: s for k, s in self.servers.items() if s.state or s.conns}
             ready = [s for s in self.servers.values() if s.told < 0]
             self.outs = [s for s in ready if s.out]
-            self.home, self.far = _split([s for s in ready if not s.out], self.set.zone)
+            self.home, self.far = split_by_zone([s for s in ready if not s.out], self.set.zone)
         if (self.home.servers or self.far.servers) and r.ran_on is None:
             return self.home, self.far
         usable = [s for s in self.servers.values() if not s.out and s.state and self._drops_repeats(r, s)]
         tier = [s for s in usable if s.told < 0] or [s for s in usable if self._in_grace(s)]
-        return _split(tier, self.set.zone)
+        return split_by_zone(tier, self.set.zone)
 
-    def _in_grace(self, s: _Server) -> bool:
+    def _in_grace(self, s: EndpointState) -> bool:
         """Departure: rule 3 ends the fallback tier for a server at the grace, less the time of two rounds."""
         return s.told < 0 or s.told > self.now - self.set.drain_grace + 2 * self.set.tick
 
@@ -225,14 +157,14 @@
         fine = r is not None and not r.over and self._may_repeat(r)
         return fine and server in self.servers and self._in_grace(self.servers[server])
 
-    def _drops_repeats(self, r: _Request, s: _Server) -> bool:
+    def _drops_repeats(self, r: RequestState, s: EndpointState) -> bool:
         """Rule 2: a keyed request that may have run goes only where its repeats are dropped."""
-        zones = self.set.classes[r.req.cls].scope is f.Scope.ZONE
+        zones = r.request_class.scope is f.Scope.ZONE
         return r.ran_on is None or (s.zone == r.ran_on.zone if zones else s.cell == r.ran_on.cell)
 
-    def _trial(self, r: _Request, home: _Pool) -> _Server | None:
+    def _trial(self, r: RequestState, home: EndpointPool) -> EndpointState | None:
         """An unusable server whose trial is due; only for a safe first attempt; far if none is at home."""
-        if not self.outs or r.attempts or self.set.classes[r.req.cls].effect is not f.Effect.SAFE:
+        if not self.outs or r.attempts or r.request_class.effect is not f.Effect.SAFE:
             return None
         near = [s for s in self.outs if s.zone == self.set.zone or not home.servers]
         due = (s for s in near if s.out and not s.trying and s.trial_at <= self.now and self._room(s))
@@ -240,7 +172,7 @@
             s.trying = r.trial = True
         return s
 
-    def _pick(self, r: _Request, home: _Pool, far: _Pool) -> _Server | None:
+    def _pick(self, r: RequestState, home: EndpointPool, far: EndpointPool) -> EndpointState | None:
         rooms, tried = [], r.tried if len(r.tried) < len(home.servers) + len(far.servers) else set()
         for pool in (home, far):  # servers whose messages are slow come last, far ones before them
             if pool.servers:
@@ -253,7 +185,7 @@
             return self.rng.choice(least) if self.crowd <= 1 or min(price.values()) <= LOAD_MOST else None
         return next((self._draw(part) for room in rooms if (part := self._among(r, *room))), None)
 
-    def _with(self, r: _Request, s: _Server) -> float:
+    def _with(self, r: RequestState, s: EndpointState) -> float:
         """Load over capacity with this request: as told, and what was placed since, which no report tells."""
         cost, since = s.cost or self.cost / s.size, s.told_at - LAG_MS
         own = self._load(r.req) + GROUP_LOADS / self.crowd * (r.req.group not in (None, *s.groups))
@@ -263,12 +195,14 @@
         unseen = self.crowd * sum(load for at, load in s.fresh if at > since)
         return s.x0 + (unseen + own) * cost
 
-    def _look(self, r: _Request, pool: _Pool, tried: set[f.Id]) -> tuple[_Server, list[_Server]]:
+    def _look(
+        self, r: RequestState, pool: EndpointPool, tried: set[f.Id]
+    ) -> tuple[EndpointState, list[EndpointState]]:
         """The first and those with room of what this request may draw: the homes of its group, else any."""
         part = pool.servers
         if r.req.group is not None:
             # departure: all balancers draw the same few homes, as each holder pays; more for a large group
-            part = pool.homes(crc32(repr(r.req.group).encode()))
+            part = pool.homes(crc32(repr(r.req.group).encode()), RING)
             own = sum(s.groups.get(r.req.group, 0) for s in part) / (len(self.requests) + FEW)
             part = part[: HOMES + int(len(pool.servers) * own)] if self.crowd >= 2 else part
         elif len(part) > LOOKS:  # some, the same at each look of a request: those that were asked for it
@@ -276,7 +210,9 @@
             part = Random(r.lot).sample(part, LOOKS)
         return part[0], [s for s in part if s.id not in tried and self._room(s)]
 
-    def _among(self, r: _Request, pool: _Pool, home: _Server, room: list[_Server]) -> list[_Server]:
+    def _among(
+        self, r: RequestState, pool: EndpointPool, home: EndpointState, room: list[EndpointState]
+    ) -> list[EndpointState]:
         group, heavy = r.req.group, self._load(r.req) > HEAVY * self.class_load[r.req.cls]
         most = GROUP_SLACK * self.load / pool.size
         if mates := [s for s in room if group in s.groups and self._fill(s) <= most]:
@@ -286,7 +222,7 @@
         free = [s for s in room if self.now - s.late_at >= GUARD_MS or s in old]
         return free if group is None else free[:1]
 
-    def _draw(self, part: list[_Server]) -> _Server:
+    def _draw(self, part: list[EndpointState]) -> EndpointState:
         """The lesser of two random draws by own load; newcomers are drawn with their rising chance."""
         if len(part) > 2:
             chances = [self._chance(s) * s.size for s in part]
@@ -295,19 +231,18 @@
             part = [first, self.rng.choices(part, chances)[0]]
         return min(part, key=self._fill)
 
-    def _fill(self, s: _Server) -> float:
+    def _fill(self, s: EndpointState) -> float:
         """Own load here for the size it has now; a live weight tells better how much all balancers hold."""
         load = (s.load + USUAL) / (s.conns + USUAL) if self.set.live_weights else s.load + 0.01 * s.conns
         return load / (s.idle * s.size * self._chance(s))
 
-    def _chance(self, s: _Server) -> float:
+    def _chance(self, s: EndpointState) -> float:
         return min(self._warmth(s), RAMP_FROM + (1 - RAMP_FROM) * (self.now - s.ramp_from) / RAMP_MS)
 
-    def _warmth(self, s: _Server) -> float:  # the least share of its capacity that a server has now
-        warm = 1.0 if s.since <= 0 or not self.set.cold else max(self.now - s.since, 0.0) / self.set.cold
-        return min(self.set.cold_from + (1 - self.set.cold_from) * warm, 1.0)
+    def _warmth(self, s: EndpointState) -> float:  # the least share of its capacity that a server has now
+        return s.warmth(self.now, self.set.cold, self.set.cold_from)
 
-    def _room(self, s: _Server) -> bool:
+    def _room(self, s: EndpointState) -> bool:
         """Rule 4: this balancer's part of what a cold server may be sent within one window."""
         warmth, window, rest = self._warmth(s), self.set.overload_for, self.set.zones - 1
         if self.now < s.choked_till or warmth >= 1.0 or not self.set.overload_factor:
@@ -337,10 +272,10 @@
     def _request(self, req: f.Request) -> None:
         if req.id not in self.requests:
             self.lately = (self.lately + 1) * exp(-max(self.now - self.came_at, 0.0) / self.set.overload_for)
-            self.came_at, self.requests[req.id] = self.now, _Request(req)
+            self.came_at, self.requests[req.id] = self.now, RequestState(req, self.set)
             self._place(self.requests[req.id])
 
-    def _place(self, r: _Request) -> None:
+    def _place(self, r: RequestState) -> None:
         """Send, hold or end a request with no attempt out; guards keyed ones held past their window."""
         last = r.req.deadline - 2 * self.set.tick
         if self.now >= last or r.attempts >= self.most or not self._may_repeat(r):
@@ -356,7 +291,7 @@
             self.held[r.req.id] = r
             self._hold_timer()
 
-    def _asked(self, r: _Request, home: _Pool, far: _Pool) -> bool:
+    def _asked(self, r: RequestState, home: EndpointPool, far: EndpointPool) -> bool:
         """Whether it waits for reports: from home, then from afar. One that nothing tells of is not free."""
         for pool in (home, far)[r.asked :]:
             if r.asked and home.servers and self._free(r, self._look(r, home, set())[1]):
@@ -373,10 +308,10 @@
                 return True
         return False
 
-    def _heard(self, room: list[_Server]) -> list[_Server]:
+    def _heard(self, room: list[EndpointState]) -> list[EndpointState]:
         return [s for s in room if self.now - s.told_at <= NEW_MS + ASK_MS] or room  # the silent may be gone
 
-    def _free(self, r: _Request, servers: list[_Server]) -> list[_Server]:
+    def _free(self, r: RequestState, servers: list[EndpointState]) -> list[EndpointState]:
         some, slow = self._heard(servers), self.now - STRAIN_MS
         return [s for s in some if s.slow_at <= slow and self._with(r, s) < LOAD_FULL]
 
@@ -387,8 +322,8 @@
                 del self.asking[r.req.id]
                 self._place(r)
 
-    def _send(self, r: _Request, s: _Server) -> None:
-        cls, left = self.set.classes[r.req.cls], r.req.deadline - self.now
+    def _send(self, r: RequestState, s: EndpointState) -> None:
+        cls, left = r.request_class, r.req.deadline - self.now
         timeout, r.attempts, r.sent_at = cls.aim * 2**r.attempts, r.attempts + 1, self.now
         if r.attempts >= self.most or timeout > 0.7 * left or cls.effect is f.Effect.UNSAFE:
             timeout = left
@@ -398,39 +333,29 @@
         self._pause(s)
         self.out.append(f.Send(r.req.id, s.id, timeout))
 
-    def _pause(self, s: _Server) -> None:
+    def _pause(self, s: EndpointState) -> None:
         """Guards against a flood through all balancers that jams a server anew once it is quick."""
         self._carried()
         pace = max(PACE - PACE_EASE * (self.now - s.late_at), PACE_STRAIN * self.strained)
         s.choked_till = max(s.choked_till, self.now + pace * self.set.balancers * self.rng.expovariate(1.0))
 
-    def _count(self, r: _Request, s: _Server) -> None:
+    def _count(self, r: RequestState, s: EndpointState) -> None:
         r.server, r.load = s, self._load(r.req)
-        s.conns, s.load = s.conns + 1, s.load + r.load
+        s.hold(r.load, r.req.group)
         self.load += r.load
         s.fresh = [x for x in s.fresh if x[0] > self.now - REPORT_MS] + [(self.now, r.load)] * self.probes
-        if r.req.group is not None:
-            s.groups[r.req.group] = s.groups.get(r.req.group, 0) + 1
 
     def _load(self, req: f.Request) -> float:
         known = self.known.get(req.key, self.class_load[req.cls])
         return req.load / self.unit if req.load and self.unit else known  # relative, as those told
 
-    def _uncount(self, r: _Request, s: _Server) -> None:
-        r.server, s.conns, self.load = None, s.conns - 1, self.load - r.load
-        s.load = s.load - r.load if s.conns else 0.0
-        if (group := r.req.group) is not None:
-            s.groups[group] -= 1
-            if not s.groups[group]:
-                del s.groups[group]
-
     def _adopted(self, event: f.Adopted) -> None:
         if (s := self.servers.get(event.server)) and event.request.id not in self.requests:
-            r = self.requests[event.request.id] = _Request(event.request)
+            r = self.requests[event.request.id] = RequestState(event.request, self.set)
             self._count(r, s)
             r.attempts, r.open, s.fresh = 1, True, []  # not new to the server: reports hold it already
 
-    def _mine(self, event: f.Established | f.Outcome | f.Note) -> tuple[_Request, _Server] | None:
+    def _mine(self, event: f.Established | f.Outcome | f.Note) -> tuple[RequestState, EndpointState] | None:
         r = self.requests.get(event.id)
         return (r, r.server) if r and r.server and event.attempt == r.attempts - 1 else None
 
@@ -439,7 +364,7 @@
             mine[0].open = True
             self._worked(mine[1], self._end_trial(*mine))
 
-    def _end_trial(self, r: _Request, s: _Server) -> bool:
+    def _end_trial(self, r: RequestState, s: EndpointState) -> bool:
         was, r.trial, s.trying = r.trial, False, s.trying and not r.trial
         return was
 
@@ -448,7 +373,8 @@
             return
         (r, s), status = mine, event.status
         trial, was_open = self._end_trial(r, s), r.open
-        self._uncount(r, s)
+        r.server, self.load = None, self.load - r.load
+        s.release(r.load, r.req.group)
         if status is f.Status.FULL or (was_open and status in FAILURES):
             s.choked_till = self.now + CHOKED_MS
         if status in FAILURES:
@@ -459,12 +385,12 @@
             self.requests.pop(event.id, None)
             return
         if status not in PROVEN and r.ran_at < 0:
-            r.ran_at, cls = r.sent_at, self.set.classes[r.req.cls]
+            r.ran_at, cls = r.sent_at, r.request_class
             r.ran_on = s if cls.effect is f.Effect.KEYED and cls.scope is not f.Scope.ALL else None
         self._place(r)
 
-    def _may_repeat(self, r: _Request) -> bool:
-        cls = self.set.classes[r.req.cls]
+    def _may_repeat(self, r: RequestState) -> bool:
+        cls = r.request_class
         in_window = self.now + 2 * self.set.tick < r.ran_at + cls.window
         return r.ran_at < 0 or cls.effect is f.Effect.SAFE or (cls.effect is f.Effect.KEYED and in_window)
 
@@ -479,9 +405,9 @@
             if self.held.pop(event.id, None) or self.asking.pop(event.id, None):
                 del self.requests[event.id]
 
-    def _end(self, r: _Request) -> None:
+    def _end(self, r: RequestState) -> None:
         """The final answer to a request with no attempt out: refused where harmless, else failed."""
-        cls = self.set.classes[r.req.cls]
+        cls = r.request_class
         for waiting in (self.requests, self.held, self.asking):
             waiting.pop(r.req.id, None)
         harmless = cls.effect is f.Effect.SAFE or (cls.effect is f.Effect.KEYED and cls.scope is f.Scope.ALL)
@@ -532,7 +458,7 @@
                 self.cost += COST_STEP * (s.cost * s.size - self.cost)
             self._answered(s.id)
 
-    def _delay_told(self, s: _Server, delay: float) -> None:
+    def _delay_told(self, s: EndpointState, delay: float) -> None:
         s.slow_at = self.now if delay > self.aim / 3 else -1e12
         self._carried()
         # guards against a jam that feeds itself: what is placed where messages already miss their aim is lost
@@ -549,7 +475,7 @@
         most = len(here) * min(MOVE_LEAST + delay / PILE_MS, MOVE_MOST) + self.rng.random()
         self.out += [f.Move(r.req.id) for r in here[: int(most)]]
 
-    def _load_told(self, r: _Request, s: _Server, told: float) -> None:
+    def _load_told(self, r: RequestState, s: EndpointState, told: float) -> None:
         """Loads are relative to the mean of those told: a connection of untold load counts as one."""
         self.loads_told += 1
         self.unit += (told - self.unit) / min(self.loads_told, UNIT_OVER)
