--- a/benchmarks/client.py
+++ b/benchmarks/client.py
@@ -30,7 +30,7 @@
 from walkloom.client.session import Session as Machine
 from walkloom.lab import Fleet
 from walkloom.lab.settings import CLASSES, LabClass
-from walkloom.net.lines import Lines
+from walkloom.transport.line_stream import Lines
 
 VIEWERS, BALANCERS = 300, 3
 SLOTS, SETUP_MS, QUEUE_MS = 170, 20.0, 300.0  # of a server: 50 set-ups a second, and 15 may wait
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -25,7 +25,7 @@
 
 from walkloom.lab import Fleet
 from walkloom.lab.fleet import Process
-from walkloom.net.lines import Lines
+from walkloom.transport.line_stream import Lines
 
 SERVERS, CLIENTS = 4, 16  # clients that work at a time
 SETUP_S, LINE_S, IDLE_S = 4.0, 4.0, 4.0
--- a/tests/characterisation/policy_adapter.py
+++ b/tests/characterisation/policy_adapter.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from walkloom.decide import Balancer
 from walkloom.messages import (
     Action,
     AttemptEnded,
@@ -41,6 +40,7 @@
     UpdateKind,
     WatchEndpointList,
 )
+from walkloom.policy import Balancer
 
 Record = tuple[Any, ...]
 
--- a/tests/test_notes.py
+++ b/tests/engine/test_load_signal.py
@@ -9,9 +9,9 @@
 from trio.testing import MockClock
 
 from tests.helpers import Rig, settings
-from walkloom.core import Core
+from walkloom.engine.engine import Core
+from walkloom.engine.load_signal import Notes
 from walkloom.messages import ConnectionSignal, Endpoint, Event, MigrateConnection, SignalKind
-from walkloom.notes import Notes
 
 LOAD, DELAY = SignalKind.LOAD, SignalKind.MESSAGE_DELAY
 
--- a/tests/test_net.py
+++ b/tests/frontends/line/test_frontend.py
@@ -12,16 +12,16 @@
 from tests import scenario
 from tests.helpers import settings
 from walkloom.config import Names
-from walkloom.core import Core
+from walkloom.discovery.watcher import Resolver, ResolverError
+from walkloom.discovery.watcher import decode as decode_list
+from walkloom.engine.engine import Core
+from walkloom.frontends.line.listener import accept
+from walkloom.frontends.line.request_lifecycle import Front
+from walkloom.frontends.line.request_line import OpeningError, decode
+from walkloom.load_reports.poller import decode as decode_report
 from walkloom.messages import Lifecycle, StartAttempt
-from walkloom.net.accept import accept
-from walkloom.net.budget import Budget
-from walkloom.net.lines import LineError, Lines
-from walkloom.net.probe import decode as decode_report
-from walkloom.net.read import OpeningError, decode
-from walkloom.net.resolver import Resolver, ResolverError
-from walkloom.net.resolver import decode as decode_list
-from walkloom.net.rpc import Front
+from walkloom.transport.descriptor_limit import Budget
+from walkloom.transport.line_stream import LineError, Lines
 
 NAMES = Names(("chat",), ("acme", "best"), ("here",), ("fast",))
 OTHER = "OPEN aa 7f3a c=chat,t=acme,d=2000,g=5c0f"
@@ -306,9 +306,9 @@
     async def none_left(address: object) -> None:
         raise OSError(errno.EMFILE, "too many")
 
-    monkeypatch.setattr("walkloom.net.connect.dial", none_left)
+    monkeypatch.setattr("walkloom.frontends.line.upstream.dial", none_left)
     blamed: list[object] = []
-    monkeypatch.setattr("walkloom.decide.Balancer._failed", lambda _, server: blamed.append(server))
+    monkeypatch.setattr("walkloom.policy.balancer.Balancer._failed", lambda _, server: blamed.append(server))
     scenario.run(f"c send {OPEN}\nwithin 100 c expect BUSY*", build, ("attempt-unsent",) * 3)
     assert not blamed
 
@@ -317,7 +317,7 @@
     def broken(*_: object) -> None:
         raise RuntimeError("module")
 
-    monkeypatch.setattr("walkloom.decide.Balancer._request", broken)
+    monkeypatch.setattr("walkloom.policy.balancer.Balancer._request", broken)
     scenario.run(f"c send {OPEN}\nc expect ERR\nc expect EOF", build, ("module-error",))
 
 
--- a/tests/test_quic.py
+++ b/tests/frontends/quic/test_frontend.py
@@ -15,11 +15,11 @@
 
 from tests import scenario
 from walkloom.config import ConfigError, Names
-from walkloom.quic import initial
-from walkloom.quic.front import QuicFront
-from walkloom.quic.ids import IdForm
-from walkloom.quic.packet import Kind, PacketError, parse, varint
-from walkloom.quic.settings import QuicConfig, Target, load
+from walkloom.frontends.quic import initial
+from walkloom.frontends.quic.front import QuicFront
+from walkloom.frontends.quic.ids import IdForm
+from walkloom.frontends.quic.packet import Kind, PacketError, parse, varint
+from walkloom.frontends.quic.settings import QuicConfig, Target, load
 
 FORM = IdForm(1, 2, 6)
 LOCAL = ("127.0.0.1", 0)
@@ -324,7 +324,7 @@
         varint(b"\x80\0", 0)
 
 
-FILE = (Path(__file__).parent.parent / "deploy" / "quic.toml.example").read_text()
+FILE = (Path(__file__).parents[3] / "deploy" / "quic.toml.example").read_text()
 
 
 @pytest.mark.parametrize(
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from typing import TypeVar
 
-from walkloom.decide import Balancer
 from walkloom.messages import (
     Action,
     AffinityGroup,
@@ -28,6 +27,7 @@
     TimerFired,
     UpdateKind,
 )
+from walkloom.policy import Balancer
 
 A = TypeVar("A")
 SAFE = RequestClass(latency_objective_ms=500.0, message_latency_objective_ms=100.0)
--- a/tests/test_importer.py
+++ b/tests/importers/test_parser.py
@@ -8,8 +8,8 @@
 import pytest
 
 from walkloom.config import Names
-from walkloom.importer import ImportFailed, Member, balancer_members, main, workers
-from walkloom.net.resolver import decode
+from walkloom.discovery.watcher import decode
+from walkloom.importers.parser import ImportFailed, Member, balancer_members, main, workers
 
 APACHE = r"""
 # two sites
--- a/tests/lab/test_standins.py
+++ b/tests/lab/test_standins.py
@@ -11,10 +11,10 @@
 from trio.testing import MockClock
 
 from walkloom.config import Names
+from walkloom.discovery.watcher import decode
 from walkloom.lab import Fleet, Ledger, TileServer, Trouble
 from walkloom.messages import Lifecycle
-from walkloom.net.lines import Lines
-from walkloom.net.resolver import decode
+from walkloom.transport.line_stream import Lines
 
 OPEN = b"OPEN %x 7f3a c=tile-view,d=1200\r\n"
 
--- a/tests/test_decide.py
+++ b/tests/policy/test_balancer.py
@@ -7,8 +7,6 @@
 import pytest
 
 from tests.helpers import SAFE, Rig, settings
-from walkloom import wire
-from walkloom.decide import Balancer
 from walkloom.messages import (
     Action,
     AttemptEnded,
@@ -39,6 +37,8 @@
     UpdateKind,
     WatchEndpointList,
 )
+from walkloom.policy import Balancer
+from walkloom.simulator import codec
 
 A, B, C = Endpoint("a"), Endpoint("b"), Endpoint("c")
 PULL: dict[str, Any] = {
@@ -527,7 +527,7 @@
         ConnectionSignal(request_id=9, attempt=0, endpoint_id="a", kind=1, value=2.0),
         TimerFired(77),
         LoadReportReceived("z", AttemptStatus.OK, 1.0),
-        wire.PeerMessageReceived(1, b"x"),
+        codec.PeerMessageReceived(1, b"x"),
         ConnectionAdopted(Request(8, 0, 0.0), "z"),
     ):
         assert rig.give(event) == []  # type: ignore[arg-type]  # one is no event of the policy
--- a/tests/test_properties.py
+++ b/tests/policy/test_properties.py
@@ -260,6 +260,6 @@
 
 
 def test_the_readmes_example_runs() -> None:
-    text = (Path(__file__).parent.parent / "README.md").read_text()
+    text = (Path(__file__).parents[2] / "README.md").read_text()
     code = next(block for block in re.findall(r"```python\n(.*?)```", text, re.S) if "Balancer(" in block)
     exec(code, {})
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,7 +25,7 @@
 from trio.testing import MockClock
 
 from tests.helpers import settings
-from walkloom.core import Core
+from walkloom.engine.engine import Core
 from walkloom.messages import Endpoint, Lifecycle, UpdateKind
 
 STATES = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "removed": Lifecycle.REMOVED}
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -14,10 +14,10 @@
 import trio
 
 from tests import scenario
-from tests.test_net import FLOOD, NAMES, LinePeer
+from tests.frontends.line.test_frontend import FLOOD, NAMES, LinePeer
 from walkloom.config import Config
-from walkloom.instance import Instance
 from walkloom.messages import Endpoint, Idempotency, Lifecycle, MigrateConnection, RequestClass, UpdateKind
+from walkloom.server import Instance
 
 CLIENTS, LAST_S = 40, 3.7  # SIGKILL comes so long after SIGTERM
 SLACK_S = 0.05  # of every time on sockets
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -13,15 +13,15 @@
 import trio
 
 from tests import scenario
-from tests.test_net import NAMES, OPEN, OTHER, UP, LinePeer, build, listen
+from tests.frontends.line.test_frontend import NAMES, OPEN, OTHER, UP, LinePeer, build, listen
 from walkloom.config import Config
-from walkloom.instance import KILL_LONGEST_S, KILL_S, Instance, Leaving
+from walkloom.discovery.watcher import Resolver
+from walkloom.frontends.line import upstream
+from walkloom.frontends.line.connection_shutdown import Finish
+from walkloom.frontends.line.upstream import dial
+from walkloom.load_reports.poller import Prober
 from walkloom.messages import EndpointId, Idempotency, MigrateConnection, RequestClass
-from walkloom.net import connect
-from walkloom.net.connect import dial
-from walkloom.net.finish import Finish
-from walkloom.net.probe import Prober
-from walkloom.net.resolver import Resolver
+from walkloom.server import KILL_LONGEST_S, KILL_S, Instance, Leaving
 
 UNSAFE = (RequestClass(latency_objective_ms=500.0, idempotency=Idempotency.NOT_IDEMPOTENT),)
 KEYED = (
@@ -349,7 +349,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, *delays: float) -> None:
         self.asked, self._delays = 0, list(delays)
-        monkeypatch.setattr(connect, "dial", self.dial)
+        monkeypatch.setattr(upstream, "dial", self.dial)
 
     async def dial(self, address: tuple[str, int]) -> object:
         self.asked += 1
--- a/walkloom/__init__.py
+++ b/walkloom/__init__.py
@@ -1,5 +1,5 @@
 """walkloom: placement decisions for long-lived connections."""
 
-from walkloom.decide import Balancer
+from walkloom.policy import Balancer
 
 __all__ = ["Balancer"]
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -12,10 +12,10 @@
 import trio
 
 from walkloom import config
-from walkloom.instance import Instance
-from walkloom.net.resolver import Resolver
-from walkloom.quic import settings as quic_settings
-from walkloom.quic.settings import QuicConfig
+from walkloom.discovery.watcher import Resolver
+from walkloom.frontends.quic import settings as quic_settings
+from walkloom.frontends.quic.settings import QuicConfig
+from walkloom.server import Instance
 
 log = logging.getLogger("walkloom")
 QUIC_FILE = Path("deploy/quic.toml")  # an operator's; without it the second front is off
--- a/walkloom/cli/imports.py
+++ b/walkloom/cli/imports.py
@@ -12,6 +12,6 @@
 def command(files: tuple[str, ...]) -> None:
     """Print the servers of FILES in the form of `known`; what could not be carried over goes to standard
     error."""
-    from walkloom.importer import main
+    from walkloom.importers.parser import main
 
     sys.exit(main(list(files)))
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -10,11 +10,14 @@
 
 import orjson
 
-from walkloom import wire
 from walkloom.messages import Settings
+from walkloom.simulator import codec
 
 T = TypeVar("T")
-SOCKETS, SOCKETS_LEAST = 1024, 24  # where the file sets no limit; room for two RPCs beside net.budget.OWN
+SOCKETS, SOCKETS_LEAST = (
+    1024,
+    24,
+)  # where the file sets no limit; room for two RPCs beside transport.descriptor_limit.OWN
 LONGEST_LEAST = 1.0  # ms
 
 
@@ -94,9 +97,9 @@
 
 def _settings(data: Any) -> tuple[Settings, Names, tuple[str, ...], float, float]:
     """For the module; all names; fields of a load report; connect timeout and longest deadline in ms."""
-    profile = wire.Profile(wire.paths_of(data))
+    profile = codec.Profile(codec.paths_of(data))
     # on sockets loads are asked before a placement; the simulator's wire tells more without
-    settings = replace(wire.settings(profile), server_reports_latency=False)
+    settings = replace(codec.settings(profile), server_reports_latency=False)
     names = Names(
         _names(data, "classes"), _names(data, "accounts"), _names(data, "azs"), _names(data, "kinds")
     )
--- a/walkloom/net/resolver.py
+++ b/walkloom/discovery/watcher.py
@@ -11,7 +11,7 @@
 import trio
 
 from walkloom.config import Names, address
-from walkloom.core import Core
+from walkloom.engine.engine import Core
 from walkloom.messages import Endpoint, EndpointId, Lifecycle, UpdateKind
 
 log = logging.getLogger("walkloom")
--- a/walkloom/core.py
+++ b/walkloom/engine/engine.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from walkloom.decide import Balancer
+from walkloom.engine.load_signal import Notes
 from walkloom.messages import (
     Action,
     AffinityGroup,
@@ -49,7 +49,7 @@
     UpdateKind,
     WatchEndpointList,
 )
-from walkloom.notes import Notes
+from walkloom.policy import Balancer
 
 log = logging.getLogger("walkloom")
 Order = StartAttempt | Reject | Fail | MigrateConnection
--- /dev/null
+++ b/walkloom/frontends/line/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's frontend: lines of text over TCP. A module for each stage of a request."""
--- a/walkloom/net/finish.py
+++ b/walkloom/frontends/line/connection_shutdown.py
@@ -10,8 +10,8 @@
 import trio
 
 from walkloom.messages import Fail, Reject
-from walkloom.net.budget import Budget
-from walkloom.net.lines import Lines
+from walkloom.transport.descriptor_limit import Budget
+from walkloom.transport.line_stream import Lines
 
 FULL_MS = 500.0  # when to come back to a balancer that has no descriptor left
 BUSY = b"BUSY %d\r\n"
--- a/walkloom/net/accept.py
+++ b/walkloom/frontends/line/listener.py
@@ -9,9 +9,9 @@
 import trio
 
 from walkloom.config import ConfigError
-from walkloom.net.lines import Lines
-from walkloom.net.rpc import Front, live
-from walkloom.net.tally import Tally
+from walkloom.frontends.line.request_lifecycle import Front, live
+from walkloom.transport.line_stream import Lines
+from walkloom.transport.rate_limited_log import Tally
 
 log = logging.getLogger("walkloom")
 # guards the listener: no descriptor is free, and one soon will be
--- a/walkloom/net/place.py
+++ b/walkloom/frontends/line/placement.py
@@ -6,11 +6,11 @@
 
 import trio
 
-from walkloom.core import Core, Ticket
+from walkloom.discovery.watcher import Resolver
+from walkloom.engine.engine import Core, Ticket
+from walkloom.frontends.line.request_line import Opening
+from walkloom.frontends.line.upstream import Up, attempt
 from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
-from walkloom.net.connect import Up, attempt
-from walkloom.net.read import Opening
-from walkloom.net.resolver import Resolver
 
 STOOD_TRIES, STOOD_PAUSE_S, STOOD_WAIT_MS = 3, 1.0, 10_000.0
 
--- a/walkloom/net/relay.py
+++ b/walkloom/frontends/line/relay.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from walkloom.core import Ticket
+from walkloom.engine.engine import Ticket
+from walkloom.frontends.line.upstream import verb
 from walkloom.messages import AttemptStatus, MigrateConnection
-from walkloom.net.connect import verb
-from walkloom.net.lines import LINGER_S, LineError, Lines
-from walkloom.net.tally import Tally
+from walkloom.transport.line_stream import LINGER_S, LineError, Lines
+from walkloom.transport.rate_limited_log import Tally
 
 log = logging.getLogger("walkloom")
 _malformed = Tally("channel-malformed")
--- a/walkloom/net/rpc.py
+++ b/walkloom/frontends/line/request_lifecycle.py
@@ -7,17 +7,17 @@
 import trio
 
 from walkloom.config import Names
-from walkloom.core import Core, Ticket
+from walkloom.discovery.watcher import Resolver
+from walkloom.engine.engine import Core, Ticket
+from walkloom.frontends.line import placement, request_line
+from walkloom.frontends.line.connection_shutdown import FULL_MS, Finish
+from walkloom.frontends.line.relay import Relay
+from walkloom.frontends.line.request_line import Opening, OpeningError
+from walkloom.frontends.line.upstream import Up
 from walkloom.messages import AttemptStatus, Fail, Reject
-from walkloom.net import place, read
-from walkloom.net.budget import Budget
-from walkloom.net.connect import Up
-from walkloom.net.finish import FULL_MS, Finish
-from walkloom.net.lines import LineError, Lines
-from walkloom.net.read import Opening, OpeningError
-from walkloom.net.relay import Relay
-from walkloom.net.resolver import Resolver
-from walkloom.net.tally import Tally
+from walkloom.transport.descriptor_limit import Budget
+from walkloom.transport.line_stream import LineError, Lines
+from walkloom.transport.rate_limited_log import Tally
 
 log = logging.getLogger("walkloom")
 STANDS_MS = 60_000.0  # how long after the start connections that stood before come back
@@ -61,7 +61,7 @@
         try:
             opening = None
             with front.finish.resting() as scope:
-                opening = await read.opening(channel, front.names, front.longest)
+                opening = await request_line.opening(channel, front.names, front.longest)
             if opening is None:
                 return await front.finish.dismiss(channel, scope)
             if channel.pending:  # a client waits for its answer
@@ -127,7 +127,7 @@
     is out ends, and the module says what its client is told."""
     result: Up | Reject | Fail | None = None
     early = False
-    stage = place.place if opening.stands_at is None else place.rejoin
+    stage = placement.place if opening.stands_at is None else placement.rejoin
     try:
         with front.finish.until_end() as scope:
             async with trio.open_nursery() as nursery:
--- a/walkloom/net/read.py
+++ b/walkloom/frontends/line/request_line.py
@@ -8,7 +8,7 @@
 import trio
 
 from walkloom.config import Names
-from walkloom.net.lines import Lines
+from walkloom.transport.line_stream import Lines
 
 FIRST_LINE_S = 2.0  # from the channel's start to the end of its opening line; 3 s are promised
 PINGS = 16  # most pings before it
--- a/walkloom/net/connect.py
+++ b/walkloom/frontends/line/upstream.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from walkloom.core import Core, Ticket
+from walkloom.engine.engine import Core, Ticket
+from walkloom.frontends.line.request_line import Opening
 from walkloom.messages import AttemptStatus
-from walkloom.net.lines import LineError, Lines
-from walkloom.net.read import Opening
+from walkloom.transport.line_stream import LineError, Lines
 
 log = logging.getLogger("walkloom")
 _OUTCOMES = {
--- /dev/null
+++ b/walkloom/frontends/quic/__init__.py
@@ -0,0 +1,1 @@
+"""The second frontend: places QUIC connections by connection id."""
--- a/walkloom/quic/flow.py
+++ b/walkloom/frontends/quic/flow.py
@@ -9,14 +9,14 @@
 
 import trio
 
-from walkloom.core import Ticket
+from walkloom.engine.engine import Ticket
+from walkloom.frontends.quic import initial
+from walkloom.frontends.quic.packet import Kind, Packet, PacketError, parse
+from walkloom.frontends.quic.settings import Target
 from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
-from walkloom.quic import initial
-from walkloom.quic.packet import Kind, Packet, PacketError, parse
-from walkloom.quic.settings import Target
 
 if TYPE_CHECKING:
-    from walkloom.quic.front import QuicFront
+    from walkloom.frontends.quic.front import QuicFront
 
 log = logging.getLogger("walkloom")
 Address = tuple[str, int]
--- a/walkloom/quic/front.py
+++ b/walkloom/frontends/quic/front.py
@@ -9,9 +9,9 @@
 
 import trio
 
-from walkloom.core import Core
-from walkloom.quic.flow import LARGEST, Address, Flow
-from walkloom.quic.packet import (
+from walkloom.engine.engine import Core
+from walkloom.frontends.quic.flow import LARGEST, Address, Flow
+from walkloom.frontends.quic.packet import (
     FIRST_ID_LEAST,
     INITIAL_LEAST,
     Kind,
@@ -20,7 +20,7 @@
     parse,
     version_negotiation,
 )
-from walkloom.quic.settings import QuicConfig
+from walkloom.frontends.quic.settings import QuicConfig
 
 log = logging.getLogger("walkloom")
 REPORT_S = 10.0
--- a/walkloom/quic/initial.py
+++ b/walkloom/frontends/quic/initial.py
@@ -9,7 +9,7 @@
 from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
 from cryptography.hazmat.primitives.ciphers.aead import AESGCM
 
-from walkloom.quic.packet import VERSION_1, Kind, PacketError, parse, varint
+from walkloom.frontends.quic.packet import VERSION_1, Kind, PacketError, parse, varint
 
 _SALT = bytes.fromhex("38762cf7f55934b34d179ae6a4c80cadccbb7f0a")
 CLIENT, SERVER = b"client in", b"server in"
--- a/walkloom/quic/settings.py
+++ b/walkloom/frontends/quic/settings.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from walkloom.config import ConfigError, Names, address
-from walkloom.quic.ids import IdForm
+from walkloom.frontends.quic.ids import IdForm
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/walkloom/importers/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the server lists of other balancers, for a list in discovery's form."""
--- a/walkloom/importer.py
+++ b/walkloom/importers/parser.py
@@ -1,4 +1,6 @@
-"""Reads the server lists of Apache's mod_proxy_balancer and of mod_jk: python -m walkloom.importer FILE...
+"""Reads the server lists of Apache's mod_proxy_balancer and of mod_jk.
+
+The command is python -m walkloom.importers.parser FILE...
 
 Prints a list in discovery's form, for a balancer's known list. What the files say and the list cannot
 hold is told on standard error, a line each; a line that cannot be read ends the import.
@@ -199,7 +201,7 @@
 def main(paths: list[str]) -> int:
     try:
         if not paths:
-            raise ImportFailed("usage: python -m walkloom.importer FILE...")
+            raise ImportFailed("usage: python -m walkloom.importers.parser FILE...")
         got = [read(Path(path)) for path in paths]
         for note in (n for one in got for n in one.notes):
             print(note, file=sys.stderr)
--- a/walkloom/lab/fleet.py
+++ b/walkloom/lab/fleet.py
@@ -22,11 +22,11 @@
 import trio
 
 from walkloom import config
-from walkloom.instance import Instance
 from walkloom.lab.discovery import Discovery, Entry
 from walkloom.lab.ledger import Ledger
 from walkloom.lab.settings import configuration, settings
 from walkloom.lab.tile import TileServer
+from walkloom.server import Instance
 
 START_S = 20.0  # a process that answers no PING by then has not started
 
--- a/walkloom/lab/load.py
+++ b/walkloom/lab/load.py
@@ -22,7 +22,7 @@
 
 from walkloom.client.seen import Histogram
 from walkloom.lab.settings import CLASSES, TENANTS, LabClass
-from walkloom.net.lines import LineError, Lines
+from walkloom.transport.line_stream import LineError, Lines
 
 LATE_MS = 10.0  # a tool that begins one arrival in a hundred later than this is too slow for its load
 BUSY_PART = 0.9  # of a core, by one of its processes: the same
--- a/walkloom/lab/sim.py
+++ b/walkloom/lab/sim.py
@@ -2,7 +2,7 @@
 heap.
 
 It answers what a change does at sizes that no loopback can hold. Every balancer is a
-`walkloom.decide.Balancer`
+`walkloom.policy.balancer.Balancer`
 that gets the events which `Core` would tell it; network, servers, registry and clients are models. All
 that is
 drawn comes from numpy generators made from the seed, so a run is the same to the byte. The rules are
@@ -28,7 +28,6 @@
 
 import numpy as np
 
-from walkloom.decide import Balancer
 from walkloom.lab.settings import CLASSES, TENANTS
 from walkloom.messages import (
     Action,
@@ -57,6 +56,7 @@
     UpdateKind,
     WatchEndpointList,
 )
+from walkloom.policy import Balancer
 
 WAY_MS = 0.5  # one way between any two
 DRAIN_MS, ATTEMPTS, ANSWER_MS = 500.0, 3, 8.0
--- a/walkloom/lab/tile.py
+++ b/walkloom/lab/tile.py
@@ -16,7 +16,7 @@
 import trio
 
 from walkloom.lab.ledger import Attempt, Ledger
-from walkloom.net.lines import LineError, Lines
+from walkloom.transport.line_stream import LineError, Lines
 
 _OPEN = re.compile(rb"OPEN ([0-9a-f]+) [0-9a-f]+ ([!-~]+)\r\n")
 
--- /dev/null
+++ b/walkloom/load_reports/__init__.py
@@ -0,0 +1,1 @@
+"""Polls servers for their load when the policy asks for it."""
--- a/walkloom/net/probe.py
+++ b/walkloom/load_reports/poller.py
@@ -7,12 +7,12 @@
 
 import trio
 
-from walkloom.core import Core
+from walkloom.discovery.watcher import Resolver
+from walkloom.engine.engine import Core
+from walkloom.frontends.line.upstream import dial, verb
 from walkloom.messages import EndpointId
-from walkloom.net.connect import dial, verb
-from walkloom.net.lines import Lines
-from walkloom.net.resolver import Resolver
-from walkloom.net.tally import Tally
+from walkloom.transport.line_stream import Lines
+from walkloom.transport.rate_limited_log import Tally
 
 log = logging.getLogger("walkloom")
 ANSWER_S = 0.5
--- a/walkloom/instance.py
+++ b/walkloom/server.py
@@ -8,13 +8,13 @@
 import trio
 
 from walkloom.config import Config
-from walkloom.core import Core
-from walkloom.net.accept import accept
-from walkloom.net.budget import Budget
-from walkloom.net.probe import Prober
-from walkloom.net.resolver import Resolver
-from walkloom.net.rpc import Front
-from walkloom.quic.settings import QuicConfig
+from walkloom.discovery.watcher import Resolver
+from walkloom.engine.engine import Core
+from walkloom.frontends.line.listener import accept
+from walkloom.frontends.line.request_lifecycle import Front
+from walkloom.frontends.quic.settings import QuicConfig
+from walkloom.load_reports.poller import Prober
+from walkloom.transport.descriptor_limit import Budget
 
 log = logging.getLogger("walkloom")
 KILL_S, KILL_LONGEST_S = 0.7, 3.0  # SIGKILL comes so long after the longest deadline; that counts as at most
@@ -74,7 +74,7 @@
             self.address = listener.socket.getsockname()[:2]
             if quic:
                 # needs a library that the platform's front does without
-                from walkloom.quic.front import QuicFront
+                from walkloom.frontends.quic.front import QuicFront
 
                 await nursery.start(QuicFront(self.core, quic).run)
                 log.info("quic-listening address=%s:%d", *quic.listen)
--- a/walkloom/simhost.py
+++ b/walkloom/simulator/host.py
@@ -1,4 +1,4 @@
-"""Hosts balancer instances on the simulator's wire: python -m walkloom.simhost. It decides nothing."""
+"""Hosts balancer instances on the simulator's wire: python -m walkloom.simulator.host. It decides nothing."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 import traceback
 from typing import BinaryIO
 
-from walkloom import wire
-from walkloom.decide import Balancer
+from walkloom.policy import Balancer
+from walkloom.simulator import codec
 
 _LENGTH = struct.Struct(">I")
 
@@ -17,7 +17,7 @@
     """The instances of this process, each with a state of its own."""
 
     def __init__(self) -> None:
-        self._decoder = wire.Decoder()
+        self._decoder = codec.Decoder()
         self._instances: dict[int, Balancer] = {}
 
     def answer(self, frame: bytes) -> bytes:
@@ -27,18 +27,18 @@
         instances = self._instances
         for inst, event in events:
             try:
-                if isinstance(event, wire.Attach):
-                    profile = wire.Profile(wire.lines_of(event.profile))
-                    instances[inst] = Balancer(wire.settings(profile), event.seed)
-                elif isinstance(event, wire.Halt):
+                if isinstance(event, codec.Attach):
+                    profile = codec.Profile(codec.lines_of(event.profile))
+                    instances[inst] = Balancer(codec.settings(profile), event.seed)
+                elif isinstance(event, codec.Halt):
                     instances.pop(inst, None)
-                elif inst in instances and not isinstance(event, wire.PeerMessageReceived):
-                    wire.encode(records, inst, instances[inst].handle(event, now))
+                elif inst in instances and not isinstance(event, codec.PeerMessageReceived):
+                    codec.encode(records, inst, instances[inst].handle(event, now))
             except Exception as error:  # one instance's failure is reported as its own
                 instances.pop(inst, None)
                 where = traceback.format_exc(limit=-3)
-                records.append(wire.bug(inst, f"{type(error).__name__}: {error} on {event!r:.300}\n{where}"))
-        return wire.reply(records)
+                records.append(codec.bug(inst, f"{type(error).__name__}: {error} on {event!r:.300}\n{where}"))
+        return codec.reply(records)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
@@ -47,15 +47,15 @@
     number = 0
     while head := source.read(4):
         if len(head) < 4:
-            raise wire.WireError(f"batch {number}: stream ends within the length field")
+            raise codec.WireError(f"batch {number}: stream ends within the length field")
         (length,) = _LENGTH.unpack(head)
         frame = source.read(length)
         if len(frame) < length:
-            raise wire.WireError(f"batch {number}: stream ends after {len(frame)} of {length} bytes")
+            raise codec.WireError(f"batch {number}: stream ends after {len(frame)} of {length} bytes")
         try:
             out = host.answer(frame)
-        except wire.WireError as error:
-            raise wire.WireError(f"batch {number}: {error}") from error
+        except codec.WireError as error:
+            raise codec.WireError(f"batch {number}: {error}") from error
         sink.write(out)
         sink.flush()
         number += 1
@@ -64,7 +64,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except wire.WireError as error:
+    except codec.WireError as error:
         print(f"walkloom: {error}", file=sys.stderr)
         return 2
     return 0
--- a/walkloom/net/budget.py
+++ b/walkloom/transport/descriptor_limit.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from walkloom.net.tally import Tally
+from walkloom.transport.rate_limited_log import Tally
 
 OWN = 16  # standard streams, listener, watch, the event loop's, and a few on the way to being closed
 PROBE_PART = 8  # probes' part of all is one in so many
