--- a/benchmarks/client.py
+++ b/benchmarks/client.py
@@ -30,7 +30,7 @@
 from walkloom.client.session import Session as Machine
 from walkloom.lab import Fleet
 from walkloom.lab.settings import CLASSES, LabClass
-from walkloom.transport.line_stream import Lines
+from walkloom.transport.line_stream import LineStream
 
 VIEWERS, BALANCERS = 300, 3
 SLOTS, SETUP_MS, QUEUE_MS = 170, 20.0, 300.0  # of a server: 50 set-ups a second, and 15 may wait
@@ -110,12 +110,12 @@
         self.tried()
         try:
             with trio.move_on_after(self.cls.give_up_ms / 1000.0):
-                lines = Lines(await trio.open_tcp_stream(host, int(port)))
+                lines = LineStream(await trio.open_tcp_stream(host, int(port)))
                 await lines.send(first.encode())
-                self.up = (await lines.line()).startswith(b"UP")
+                self.up = (await lines.read_line()).startswith(b"UP")
             self.ups += self.up
             if lines and self.up:
-                while b"MOVE" not in await lines.whole() and not lines.ended:
+                while b"MOVE" not in await lines.read_complete_lines() and not lines.ended:
                     pass
                 return True
         except (OSError, trio.BrokenResourceError):
@@ -273,9 +273,9 @@
     rng = Random(seed)
 
     async def odd(stream: trio.SocketStream) -> None:
-        lines = Lines(stream)
+        lines = LineStream(stream)
         try:
-            first = await lines.line()
+            first = await lines.read_line()
             came = trio.current_time()
             if not first:
                 return
@@ -294,7 +294,7 @@
                 while await _stays(lines, 0.02):
                     await lines.send(b"B")
             with suppress(trio.BrokenResourceError):
-                while await lines.whole():
+                while await lines.read_complete_lines():
                     pass
             over = (trio.current_time() - came) * 1000.0 - left
             seen.latest_ms = max(seen.latest_ms, over)
@@ -337,9 +337,9 @@
     return seen
 
 
-async def _stays(lines: Lines, seconds: float) -> bool:
+async def _stays(lines: LineStream, seconds: float) -> bool:
     with trio.move_on_after(seconds):
-        while await lines.stirs():
+        while await lines.wait_for_input():
             pass
         return False
     return True
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -25,7 +25,7 @@
 
 from walkloom.lab import Fleet
 from walkloom.lab.fleet import Process
-from walkloom.transport.line_stream import Lines
+from walkloom.transport.line_stream import LineStream
 
 SERVERS, CLIENTS = 4, 16  # clients that work at a time
 SETUP_S, LINE_S, IDLE_S = 4.0, 4.0, 4.0
@@ -61,14 +61,14 @@
     balancer: Process | None
     number: int = 0
 
-    async def dial(self) -> Lines | None:
+    async def dial(self) -> LineStream | None:
         """A connection that stands, or None where it was not served."""
         self.number += 1
         host, _, port = self.addresses[self.number % len(self.addresses)].rpartition(":")
-        lines = Lines(await trio.open_tcp_stream(host, int(port)))
+        lines = LineStream(await trio.open_tcp_stream(host, int(port)))
         salt = self.number + (1 << 40 if self.balancer else 0)
         await lines.send(OPEN.format(salt, self.number % 1000 + 1).encode())
-        if (await lines.line()).startswith(b"UP"):
+        if (await lines.read_line()).startswith(b"UP"):
             return lines
         await lines.close()
         return None
@@ -100,11 +100,11 @@
     standing = [lines for _ in range(CLIENTS) if (lines := await way.dial())]
     cpu, begin = way.cpu_s(), trio.current_time()
 
-    async def client(lines: Lines) -> None:
+    async def client(lines: LineStream) -> None:
         nonlocal count
         while trio.current_time() < begin + LINE_S:
             await lines.send(b"SHEET 17\r\n")
-            if not await lines.line():
+            if not await lines.read_line():
                 raise RuntimeError("a connection ended")
             count += 1
 
@@ -121,7 +121,7 @@
     """How many stood idle, KiB of the balancer for each, and its CPU in cores, as their number grows."""
     assert way.balancer
     await trio.sleep(1.0)
-    out, standing, empty = [], list[Lines](), way.balancer.rss_kib
+    out, standing, empty = [], list[LineStream](), way.balancer.rss_kib
     for count in (1000, 3000, 9000):
         if count > most:
             print(f"descriptors for {most} connections: {count} left out", file=sys.stderr)
--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -11,19 +11,19 @@
 
 from tests import scenario
 from tests.helpers import settings
-from walkloom.config import Names
-from walkloom.discovery.watcher import Resolver, ResolverError
+from walkloom.config import SettingNames
+from walkloom.discovery.watcher import DiscoveryError, EndpointWatcher
 from walkloom.discovery.watcher import decode as decode_list
-from walkloom.engine.engine import Core
+from walkloom.engine.engine import Engine
 from walkloom.frontends.line.listener import accept
-from walkloom.frontends.line.request_lifecycle import Front
-from walkloom.frontends.line.request_line import OpeningError, decode
+from walkloom.frontends.line.request_lifecycle import LineFrontend
+from walkloom.frontends.line.request_line import RequestLineError, decode
 from walkloom.load_reports.poller import decode as decode_report
 from walkloom.messages import Lifecycle, StartAttempt
-from walkloom.transport.descriptor_limit import Budget
-from walkloom.transport.line_stream import LineError, Lines
+from walkloom.transport.descriptor_limit import DescriptorLimit
+from walkloom.transport.line_stream import LineError, LineStream
 
-NAMES = Names(("chat",), ("acme", "best"), ("here",), ("fast",))
+NAMES = SettingNames(("chat",), ("acme", "best"), ("here",), ("fast",))
 OTHER = "OPEN aa 7f3a c=chat,t=acme,d=2000,g=5c0f"
 OPEN = "OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f"
 
@@ -33,7 +33,7 @@
 
 class LinePeer:
     def __init__(self, stream: trio.SocketStream) -> None:
-        self.lines = Lines(stream)
+        self.lines = LineStream(stream)
 
     async def send(self, text: str) -> None:
         await self.part(text + r"\r\n")
@@ -54,13 +54,15 @@
 
     async def receive(self) -> str:
         try:
-            line = await self.lines.line() or await self.lines.whole()  # a half line reads as one, too
+            line = (
+                await self.lines.read_line() or await self.lines.read_complete_lines()
+            )  # a half line reads as one, too
             return line.decode().strip() or "EOF"
         except trio.BrokenResourceError:
             return "RESET"
 
     async def close(self) -> None:
-        await self.lines.finish()
+        await self.lines.send_eof()
 
     async def reset(self) -> None:
         await self.lines.reset()
@@ -86,18 +88,18 @@
 
 async def build(world: scenario.World) -> None:
     """The front before two servers."""
-    resolver = Resolver(world.core, ("127.0.0.1", 1), NAMES)
-    resolver.known(await listen(world))
-    budget = Budget(getattr(world, "sockets", 1024))
-    front = Front(world.core, resolver, NAMES, world.connect_timeout, 3000.0, budget)
-    listeners = await world.nursery.start(accept, front, ("127.0.0.1", 0))
+    watcher = EndpointWatcher(world.engine, ("127.0.0.1", 1), NAMES)
+    watcher.load_cached(await listen(world))
+    descriptor_limit = DescriptorLimit(getattr(world, "sockets", 1024))
+    frontend = LineFrontend(world.engine, watcher, NAMES, world.connect_timeout, 3000.0, descriptor_limit)
+    listeners = await world.nursery.start(accept, frontend, ("127.0.0.1", 0))
     port = listeners[0].socket.getsockname()[1]
 
     async def dial(who: str) -> LinePeer:
         return LinePeer(await trio.open_tcp_stream("127.0.0.1", port))
 
     async def forgotten(_: str) -> None:
-        assert world.core.idle and not world.core._balancer.requests
+        assert world.engine.idle and not world.engine._balancer.requests
 
     world.dial, world.verbs["forgotten"] = dial, forgotten
 
@@ -306,7 +308,7 @@
     async def none_left(address: object) -> None:
         raise OSError(errno.EMFILE, "too many")
 
-    monkeypatch.setattr("walkloom.frontends.line.upstream.dial", none_left)
+    monkeypatch.setattr("walkloom.frontends.line.upstream.open_line_stream", none_left)
     blamed: list[object] = []
     monkeypatch.setattr("walkloom.policy.balancer.Balancer._failed", lambda _, server: blamed.append(server))
     scenario.run(f"c send {OPEN}\nwithin 100 c expect BUSY*", build, ("attempt-unsent",) * 3)
@@ -324,9 +326,15 @@
 def test_the_opening_line_is_decoded_once_and_passed_on_but_for_its_patience() -> None:
     line = b"OPEN 9b1f 7f3a c=chat,t=best,d=2000,g=5c0f,h=1.5,r=1,again=1,other=9\r\n"
     got = decode(line, NAMES, 3000.0)
-    assert (got.cls, got.tenant, got.patience, got.key, got.group) == (0, 1, 2000.0, 0x7F3A, 0x5C0F)
-    assert (got.load, got.repeat, got.returned, got.stands_at) == (1.5, True, True, None)
-    assert got.for_subchannel(1234.9) == line.replace(b"d=2000", b"d=1234")
+    assert (got.request_class, got.tenant, got.patience_ms, got.client_key, got.affinity_group) == (
+        0,
+        1,
+        2000.0,
+        0x7F3A,
+        0x5C0F,
+    )
+    assert (got.load, got.is_retry, got.is_reconnect, got.stands_at) == (1.5, True, True, None)
+    assert got.for_upstream(1234.9) == line.replace(b"d=2000", b"d=1234")
 
 
 @pytest.mark.parametrize(
@@ -356,7 +364,7 @@
     ],
 )
 def test_opening_lines_that_no_client_sends_are_named(line: str) -> None:
-    with pytest.raises(OpeningError):
+    with pytest.raises(RequestLineError):
         decode(line.encode("latin-1") + b"\r\n", NAMES, 3000.0)
 
 
@@ -385,7 +393,7 @@
     result = decode_list(body, NAMES)
     assert [(s.id, s.cell, s.capacity_weight, s.started_at) for s in result.servers] == [("b", 0, 1.0, 0.0)]
     with pytest.raises(
-        ResolverError, match="no entry"
+        DiscoveryError, match="no entry"
     ):  # guards what is known against a list in another form
         decode_list(orjson.dumps({"generation": 1, "reset": True, "instances": [bad]}), NAMES)
 
@@ -406,7 +414,7 @@
     assert len(result.servers) == 1034 and len(result.addresses) == 1024
     assert result.addresses["s-3"] == ("127.0.0.1", 1028) and result.servers[-1].lifecycle is Lifecycle.READY
     for end in (1, len(body) // 2, len(body) - 1):
-        with pytest.raises(ResolverError, match="malformed"):
+        with pytest.raises(DiscoveryError, match="malformed"):
             decode_list(body[:end], NAMES)
 
 
@@ -419,7 +427,7 @@
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"generation":1,"reset":true,"instances":[{}]}'])
 def test_a_malformed_list_is_a_failed_call(body: bytes) -> None:
-    with pytest.raises(ResolverError, match="malformed"):
+    with pytest.raises(DiscoveryError, match="malformed"):
         decode_list(body, NAMES)
 
 
@@ -428,7 +436,7 @@
         ours, theirs = trio.socket.socketpair()
         await theirs.send(b"x" * 5000)
         with pytest.raises(LineError):
-            await Lines(trio.SocketStream(ours)).whole()
+            await LineStream(trio.SocketStream(ours)).read_complete_lines()
 
     trio.run(main)
 
@@ -557,15 +565,15 @@
             """In the tick in which the resolver wakes next, where it is to cross."""
             (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
             world.nursery.start_soon(trio.serve_listeners, take, [listener])
-            do = partial(resolver.move, listener.socket.getsockname())
-            scenario.BeforeStep("Resolver.run", do) if crossing else do()
+            do = partial(watcher.change_discovery, listener.socket.getsockname())
+            scenario.BeforeStep("EndpointWatcher.run", do) if crossing else do()
 
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         world.nursery.start_soon(trio.serve_listeners, take, [listener])
-        resolver = Resolver(world.core, listener.socket.getsockname(), NAMES)
+        watcher = EndpointWatcher(world.engine, listener.socket.getsockname(), NAMES)
         world.verbs["move"] = move
-        resolver.known(b"no list")
-        world.nursery.start_soon(resolver.run)
+        watcher.load_cached(b"no list")
+        world.nursery.start_soon(watcher.run)
 
     scenario.run(script, discovery, (), polls_endpoint_list=polls_endpoint_list, **changes)
 
@@ -574,22 +582,22 @@
     """No bound below what the largest fleets have: every entry has its address and can be chosen."""
 
     async def main() -> None:
-        core = Core(
+        engine = Engine(
             settings(
                 balancer_count=1024, zone_count=4, polls_endpoint_list=True, max_poll_interval_ms=10_000.0
             ),
             1,
         )
-        resolver = Resolver(core, ("127.0.0.1", 1), NAMES)
+        watcher = EndpointWatcher(engine, ("127.0.0.1", 1), NAMES)
         entries = [
             {"instanceId": f"s-{n}", "hostPort": f"127.0.0.1:{20_000 + n}", "lifecycle": "up"}
             for n in range(1024)
         ]
-        resolver.known(orjson.dumps({"generation": 1, "reset": True, "instances": entries}))
-        assert all(resolver.address(f"s-{n}") == ("127.0.0.1", 20_000 + n) for n in range(1024))
+        watcher.load_cached(orjson.dumps({"generation": 1, "reset": True, "instances": entries}))
+        assert all(watcher.address(f"s-{n}") == ("127.0.0.1", 20_000 + n) for n in range(1024))
         chosen = set()
         for n in range(2000):
-            order = await core.submit(0, core.now() + 3000.0, group=n).order()
+            order = await engine.submit(0, engine.now() + 3000.0, affinity_group=n).next_command()
             assert isinstance(order, StartAttempt)
             chosen.add(order.endpoint_id)
         assert len(chosen) > 800
--- a/tests/frontends/quic/test_frontend.py
+++ b/tests/frontends/quic/test_frontend.py
@@ -14,16 +14,16 @@
 import trio
 
 from tests import scenario
-from walkloom.config import ConfigError, Names
+from walkloom.config import ConfigError, SettingNames
 from walkloom.frontends.quic import initial
-from walkloom.frontends.quic.front import QuicFront
+from walkloom.frontends.quic.frontend import QuicFrontend
 from walkloom.frontends.quic.ids import IdForm
 from walkloom.frontends.quic.packet import Kind, PacketError, parse, varint
 from walkloom.frontends.quic.settings import QuicConfig, Target, load
 
 FORM = IdForm(1, 2, 6)
 LOCAL = ("127.0.0.1", 0)
-NAMES = Names(("view",), (), ("here",), ("fast",))
+NAMES = SettingNames(("view",), (), ("here",), ("fast",))
 FIRST, OWN, ODD = b"first-id", b"cl", b"\xff" * FORM.length
 CRYPTO = b"\x06\x00\x04helo"
 
@@ -127,7 +127,7 @@
         world.nursery.start_soon(serve, world, server, sock)
         targets.append(Target(server, b"\0" + server.encode(), sock.getsockname()))
     conf = QuicConfig(LOCAL, FORM, 0, 0, 2000.0, 3, tuple(targets))
-    first = world.front = QuicFront(world.core, conf)
+    first = world.frontend = QuicFrontend(world.engine, conf)
     address = await world.nursery.start(first.run)
 
     async def dropped(counts: str) -> None:
@@ -137,7 +137,7 @@
     second = scenario.World(world.nursery)
     second.servers = world.servers
     second.listed("up")
-    world.others = await world.nursery.start(QuicFront(second.core, conf).run)
+    world.others = await world.nursery.start(QuicFrontend(second.engine, conf).run)
 
     async def dial(who: str) -> Client:
         client = Client(world, address)
@@ -280,7 +280,7 @@
 
 
 def test_flows_end_and_leave_nothing_behind() -> None:
-    """Quiet for a minute: the flow, its ids and its place at the core are gone."""
+    """Quiet for a minute: the connection, its ids and its place at the engine are gone."""
     worlds: list[Any] = []
 
     async def keep(world: Any) -> None:
@@ -288,7 +288,7 @@
         await build(world)
 
     scenario.run(UP + "wait 61000", keep)
-    assert worlds[0].front.flows == {} and worlds[0].core.idle
+    assert worlds[0].frontend.connections == {} and worlds[0].engine.idle
 
 
 def test_initial_keys_are_those_of_rfc_9001() -> None:
@@ -338,7 +338,7 @@
     ],
 )
 def test_an_unusable_file_is_named(tmp_path: Path, old: str, new: str, what: str) -> None:
-    names = Names(("tile-view",), ("herb-ufsul",), (), ())
+    names = SettingNames(("tile-view",), ("herb-ufsul",), (), ())
     path = tmp_path / "quic.toml"
     assert load(path, names) is None
     path.write_text(FILE)
--- a/tests/importers/test_parser.py
+++ b/tests/importers/test_parser.py
@@ -7,7 +7,7 @@
 import orjson
 import pytest
 
-from walkloom.config import Names
+from walkloom.config import SettingNames
 from walkloom.discovery.watcher import decode
 from walkloom.importers.parser import ImportFailed, Member, balancer_members, main, workers
 
@@ -100,7 +100,7 @@
     (tmp_path / "workers.properties").write_text(JK)
     assert main([str(tmp_path / "httpd.conf"), str(tmp_path / "workers.properties")]) == 0
     out = capsys.readouterr().out
-    result = decode(out.encode(), Names((), (), ("north",), ()))
+    result = decode(out.encode(), SettingNames((), (), ("north",), ()))
     assert [str(s.id) for s in result.servers] == ["t1", "t2", "10.0.0.3:80", "w1", "two"]
     assert result.addresses["t2"] == ("10.0.0.2", 8009) and orjson.loads(out)["reset"]
     (tmp_path / "twice.properties").write_text("worker.list=t1\n")
--- a/tests/lab/test_standins.py
+++ b/tests/lab/test_standins.py
@@ -10,11 +10,11 @@
 import trio
 from trio.testing import MockClock
 
-from walkloom.config import Names
+from walkloom.config import SettingNames
 from walkloom.discovery.watcher import decode
 from walkloom.lab import Fleet, Ledger, TileServer, Trouble
 from walkloom.messages import Lifecycle
-from walkloom.transport.line_stream import Lines
+from walkloom.transport.line_stream import LineStream
 
 OPEN = b"OPEN %x 7f3a c=tile-view,d=1200\r\n"
 
@@ -30,8 +30,8 @@
     trio.run(main, clock=MockClock(autojump_threshold=0.01))
 
 
-async def dial(server: TileServer, *lines: bytes) -> Lines:
-    made = Lines(await trio.open_tcp_stream("127.0.0.1", server.port))
+async def dial(server: TileServer, *lines: bytes) -> LineStream:
+    made = LineStream(await trio.open_tcp_stream("127.0.0.1", server.port))
     for line in lines:
         await made.send(line)
     return made
@@ -41,15 +41,15 @@
     async def body(fleet: Fleet) -> None:
         server = fleet.tiles["s-0"]
         client = await dial(server, b"PING\r\n")
-        assert await client.line() == b"PONG\r\n"
+        assert await client.read_line() == b"PONG\r\n"
         await client.send(OPEN % 1)
-        assert await client.line() == b"UP 1\r\n"
+        assert await client.read_line() == b"UP 1\r\n"
         await client.send(b"a\r\n")
-        assert await client.line() == b"a\r\n"
+        assert await client.read_line() == b"a\r\n"
         probe = await dial(server, b"STATS\r\n")
-        assert await probe.line() == b"PONG served_ps=1.00,busy_reqs=1,x0=0.5000\r\n"
+        assert await probe.read_line() == b"PONG served_ps=1.00,busy_reqs=1,x0=0.5000\r\n"
         await server.bye("1")
-        assert await client.line() == b"BYE\r\n" and await client.line() == b"" and server.load == 0
+        assert await client.read_line() == b"BYE\r\n" and await client.read_line() == b"" and server.load == 0
 
     play(body, slots=2)
 
@@ -60,7 +60,7 @@
         answers = []
 
         async def ask(number: int) -> None:
-            answers.append((await (await dial(server, OPEN % (number + 1))).line()).split()[0])
+            answers.append((await (await dial(server, OPEN % (number + 1))).read_line()).split()[0])
 
         async with trio.open_nursery() as nursery:
             for number in range(10):
@@ -81,7 +81,7 @@
         for number in range(40):
             client = await dial(server, OPEN % (number + 1))
             try:
-                line: bytes | None = await client.line()
+                line: bytes | None = await client.read_line()
             except trio.BrokenResourceError:
                 line = None
             bad += line == answer
@@ -98,8 +98,8 @@
         server.trouble = trouble
         client = await dial(server, OPEN % 1)
         with trio.move_on_after(3) as scope:
-            await client.line()
-        assert scope.cancelled_caught and client.pending == (trouble is Trouble.TRICKLING)
+            await client.read_line()
+        assert scope.cancelled_caught and client.has_buffered_input == (trouble is Trouble.TRICKLING)
 
     play(body)
 
@@ -109,10 +109,10 @@
         server, at = fleet.tiles["s-0"], []
         clients = [await dial(server, OPEN % (n + 1)) for n in range(5)]
         for client in clients:
-            await client.line()
+            await client.read_line()
 
-        async def listen(client: Lines) -> None:
-            assert await client.line() == b"MOVE\r\n"
+        async def listen(client: LineStream) -> None:
+            assert await client.read_line() == b"MOVE\r\n"
             at.append(trio.current_time())
 
         async with trio.open_nursery() as nursery:
@@ -121,7 +121,7 @@
             await fleet.drain("s-0", over_ms=1000)
         assert [round(t - at[0], 1) for t in at] == [0.0, 0.2, 0.4, 0.6, 0.8]
         late = await dial(server, OPEN % 99)
-        assert await late.line() == b"BUSY\r\n"
+        assert await late.read_line() == b"BUSY\r\n"
 
     play(body)
 
@@ -130,10 +130,10 @@
     async def body(fleet: Fleet) -> None:
         server, port = fleet.tiles["s-0"], fleet.tiles["s-0"].port
         client = await dial(server, OPEN % 1)
-        await client.line()
+        await client.read_line()
         await fleet.crash("s-0")
         with pytest.raises(trio.BrokenResourceError):
-            await client.line()
+            await client.read_line()
         with pytest.raises(OSError):
             await dial(server)
         await fleet.restart("s-0")
@@ -160,7 +160,7 @@
 
     async def body(fleet: Fleet) -> None:
         await trio.sleep(1)
-        names = Names((), (), ("here",), ("std-node",))
+        names = SettingNames((), (), ("here",), ("std-node",))
         result = decode((await get(fleet, ""))[1], names)
         assert result.whole and [s.id for s in result.servers] == ["s-0", "s-1"] and result.generation == 2
         fleet.discovery.change("s-1", state="draining")
@@ -208,7 +208,7 @@
 def test_a_server_that_is_sent_rubbish_says_so_to_the_ledger() -> None:
     async def body(fleet: Fleet) -> None:
         client = await dial(fleet.tiles["s-0"], b"GET / HTTP/1.1\r\n")
-        assert await client.line() == b"SYNTAX\r\n" and fleet.ledger.faults_in_all == 1
+        assert await client.read_line() == b"SYNTAX\r\n" and fleet.ledger.faults_in_all == 1
 
     play(body)
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -25,7 +25,7 @@
 from trio.testing import MockClock
 
 from tests.helpers import settings
-from walkloom.engine.engine import Core
+from walkloom.engine.engine import Engine
 from walkloom.messages import Endpoint, Lifecycle, UpdateKind
 
 STATES = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "removed": Lifecycle.REMOVED}
@@ -39,11 +39,11 @@
 
 
 class World:
-    """A core with keep_time running, and the peers of one scenario; `dial` makes a client."""
+    """An engine with run_timers running, and the peers of one scenario; `dial` makes a client."""
 
     def __init__(self, nursery: trio.Nursery, connect_timeout: float = 60.0, **changes: object) -> None:
         changes = {"max_attempts": 3, "max_retry_after_ms": 1500.0, "drain_grace_ms": 500.0} | changes
-        self.core = Core(settings(**changes), 1)
+        self.engine = Engine(settings(**changes), 1)
         self.nursery, self.connect_timeout = nursery, connect_timeout
         self.servers: tuple[str, ...] = ()
         self.listeners: list[trio.SocketListener] = []  # of the servers
@@ -52,12 +52,12 @@
         self._came = trio.Event()
         self.dial: Callable[[str], Awaitable[Any]]
         self.verbs: dict[str, Callable[[str], Awaitable[None]]] = {}
-        nursery.start_soon(self.core.keep_time)
-        nursery.start_soon(self.core.keep_pulse)
+        nursery.start_soon(self.engine.run_timers)
+        nursery.start_soon(self.engine.run_latency_monitor)
 
     def listed(self, state: str) -> None:
         lines = (Endpoint(name, lifecycle=STATES[state]) for name in self.servers)
-        self.core.list_came(UpdateKind.SNAPSHOT, lines)
+        self.engine.endpoint_list_received(UpdateKind.SNAPSHOT, lines)
 
     def take(self, peer: Peer) -> None:
         """A connection has come to a server."""
@@ -102,7 +102,7 @@
         elif who == "list":
             self.listed(rest)
         elif who == "stop":
-            self.nursery.start_soon(self.core.leave, 0.5, 1.5)
+            self.nursery.start_soon(self.engine.migrate_connections, 0.5, 1.5)
         elif verb == "expect":
             got = await (await self.peer(who)).receive()
             assert fnmatchcase(got, what), f"got {got!r}"
--- a/tests/simulator/test_codec.py
+++ b/tests/simulator/test_codec.py
@@ -204,7 +204,7 @@
 
 
 def settings(text: str) -> Settings:
-    return codec.settings(codec.Profile(codec.lines_of(text)))
+    return codec.settings(codec.SettingsReader(codec.parse_settings_lines(text)))
 
 
 def test_nested_settings_have_the_same_paths_and_values() -> None:
@@ -215,7 +215,7 @@
         "family-info": {"message-aim": [250.0]},
         "azs": [],
     }
-    assert codec.settings(codec.Profile(codec.paths_of(nested))) == settings(PROFILE)
+    assert codec.settings(codec.SettingsReader(codec.flatten_settings(nested))) == settings(PROFILE)
 
 
 def test_missing_setting_names_the_key() -> None:
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -17,7 +17,7 @@
 from tests.frontends.line.test_frontend import FLOOD, NAMES, LinePeer
 from walkloom.config import Config
 from walkloom.messages import Endpoint, Idempotency, Lifecycle, MigrateConnection, RequestClass, UpdateKind
-from walkloom.server import Instance
+from walkloom.server import BalancerServer
 
 CLIENTS, LAST_S = 40, 3.7  # SIGKILL comes so long after SIGTERM
 SLACK_S = 0.05  # of every time on sockets
@@ -144,18 +144,20 @@
         await peer.lines.close()
 
 
-async def trouble(rnd: Random, server: Instance) -> None:
-    core = server.core
+async def trouble(rnd: Random, server: BalancerServer) -> None:
+    engine = server.engine
     for _ in range(8):
         await trio.sleep(rnd.uniform(0, 1.5))
-        since = rnd.choice([0.0, core.now()])
+        since = rnd.choice([0.0, engine.now()])
         one = Endpoint(rnd.choice("abc"), lifecycle=rnd.choice(list(Lifecycle)), started_at=since)
         kind = rnd.choice([UpdateKind.INCREMENTAL, UpdateKind.SNAPSHOT, None])
         if kind is None:
-            for ticket in [t for t in core._tickets.values() if t.up]:
-                core._act(MigrateConnection(ticket.id))
+            for handle in [t for t in engine._handles.values() if t.is_established]:
+                engine._act(MigrateConnection(handle.id))
         else:
-            core.list_came(kind, [Endpoint(x) for x in "abc"] if kind is UpdateKind.SNAPSHOT else [one])
+            engine.endpoint_list_received(
+                kind, [Endpoint(x) for x in "abc"] if kind is UpdateKind.SNAPSHOT else [one]
+            )
 
 
 @pytest.mark.parametrize("seed", [3, 21, 48, 187, 191, 341])
@@ -175,28 +177,28 @@
         conf = Config(
             "n0", ("127.0.0.1", 0), ("127.0.0.1", 1), seed, rnd.choice([40, 1024]),
             f'{{"generation":1,"reset":true,"instances":[{",".join(known)}]}}'.encode(),
-            world.core.settings, NAMES, ("x0",), rnd.choice([60.0, 1000.0]), 3000.0,
+            world.engine.settings, NAMES, ("x0",), rnd.choice([60.0, 1000.0]), 3000.0,
         )  # fmt: skip
         scope, gone = trio.CancelScope(), trio.Event()
 
-        async def run(task_status: trio.TaskStatus[Instance]) -> None:
+        async def run(task_status: trio.TaskStatus[BalancerServer]) -> None:
             with scope:
-                await Instance.serve(conf, None, task_status)
+                await BalancerServer.serve(conf, None, task_status)
             gone.set()
 
-        server: Instance = await world.nursery.start(run)
+        server: BalancerServer = await world.nursery.start(run)
         async with trio.open_nursery() as nursery:
             for number in range(1, CLIENTS + 1):
                 nursery.start_soon(call, rnd, record, server.address, number)
             nursery.start_soon(trouble, rnd, server)
             await trio.sleep(rnd.uniform(3, 11))
             told_at = trio.current_time()
-            await server.leave()
+            await server.shut_down()
             scope.cancel()
             await gone.wait()
             assert trio.current_time() < told_at + LAST_S
-        balancer = server.core._balancer
-        assert server.core.idle and not (balancer.requests or balancer.held or balancer.asking)
+        balancer = server.engine._balancer
+        assert server.engine.idle and not (balancer.requests or balancer.held or balancer.asking)
         assert not any(s.conns for s in balancer.servers.values())
 
     effect = rnd.choice(list(Idempotency))
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -15,13 +15,14 @@
 from tests import scenario
 from tests.frontends.line.test_frontend import NAMES, OPEN, OTHER, UP, LinePeer, build, listen
 from walkloom.config import Config
-from walkloom.discovery.watcher import Resolver
+from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.frontends.line import upstream
-from walkloom.frontends.line.connection_shutdown import Finish
-from walkloom.frontends.line.upstream import dial
-from walkloom.load_reports.poller import Prober
+from walkloom.frontends.line.connection_shutdown import ConnectionShutdown
+from walkloom.load_reports.poller import LoadReportPoller
 from walkloom.messages import EndpointId, Idempotency, MigrateConnection, RequestClass
-from walkloom.server import KILL_LONGEST_S, KILL_S, Instance, Leaving
+from walkloom.server import BalancerServer
+from walkloom.shutdown import KILL_LONGEST_S, KILL_S, ShutdownSchedule
+from walkloom.transport.line_stream import open_line_stream
 
 UNSAFE = (RequestClass(latency_objective_ms=500.0, idempotency=Idempotency.NOT_IDEMPOTENT),)
 KEYED = (
@@ -39,22 +40,22 @@
     async def made(world: scenario.World) -> None:
         known = await listen(world)
         conf = Config(
-            "n0", ("127.0.0.1", 0), ("127.0.0.1", 1), 1, 1024, known, world.core.settings, NAMES, (),
+            "n0", ("127.0.0.1", 0), ("127.0.0.1", 1), 1, 1024, known, world.engine.settings, NAMES, (),
             world.connect_timeout, longest,
         )  # fmt: skip
         scope = trio.CancelScope()
         gone = trio.Event()
 
-        async def serve(task_status: trio.TaskStatus[Instance]) -> None:
+        async def serve(task_status: trio.TaskStatus[BalancerServer]) -> None:
             with scope:
-                await Instance.serve(conf, None, task_status)
+                await BalancerServer.serve(conf, None, task_status)
             gone.set()
 
-        server: Instance = await world.nursery.start(serve)
+        server: BalancerServer = await world.nursery.start(serve)
 
         async def leave() -> None:
             before = trio.current_time()
-            await server.leave()
+            await server.shut_down()
             scope.cancel()
             await gone.wait()
             kill = min(longest / 1000.0, KILL_LONGEST_S) + KILL_S
@@ -78,10 +79,10 @@
 @pytest.mark.parametrize("longest", [50.0, 300.0, SHORT, 3000.0, 8000.0])
 def test_a_planned_stop_keeps_its_time_whatever_the_longest_deadline(longest: float) -> None:
     """SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s where it is longer."""
-    plan, kill = Leaving.of(longest), min(longest / 1000.0, 3.0) + 0.7
-    last = plan.start + plan.over
-    assert 0.0 < plan.start < last < plan.end < plan.gone < kill
-    assert last > 0.2 and kill - plan.gone > 0.05
+    plan, kill = ShutdownSchedule.of(longest), min(longest / 1000.0, 3.0) + 0.7
+    last = plan.migrate_from + plan.migrate_for
+    assert 0.0 < plan.migrate_from < last < plan.answer_by < plan.exit_by < kill
+    assert last > 0.2 and kill - plan.exit_by > 0.05
 
 
 STOPS = {
@@ -177,20 +178,20 @@
     monkeypatch: pytest.MonkeyPatch, time: int
 ) -> None:
     """It is in the listener's queue as the accepting ends; with the listener it would be reset."""
-    end = Finish.end
+    end = ConnectionShutdown.shut_down
     clients: list[socket.socket] = []
 
     async def crossing(world: scenario.World) -> None:
         await instance(50.0)(world)
         address = world.instance.address  # type: ignore[attr-defined]
 
-        async def crossed(self: Finish, gone_at: float) -> None:
+        async def crossed(self: ConnectionShutdown, gone_at: float) -> None:
             # not trio's: no other task runs meanwhile
             clients.append(socket.create_connection(address))
             clients[0].sendall(f"{OPEN.replace('2000', '50')}\r\n".encode())
             await end(self, gone_at)
 
-        monkeypatch.setattr(Finish, "end", crossed)
+        monkeypatch.setattr(ConnectionShutdown, "shut_down", crossed)
         await world.verbs["term"]("")
         await world.gone.wait()  # type: ignore[attr-defined]
         with clients[0] as client:
@@ -332,12 +333,12 @@
         async def crossing(times: str) -> None:
             def move() -> None:
                 for _ in range(int(times)):
-                    world.core._act(MigrateConnection(1))
+                    world.engine._act(MigrateConnection(1))
 
             scenario.BeforeStep("Relay._first", move)
 
         async def now(_: str) -> None:
-            world.core._act(MigrateConnection(1))
+            world.engine._act(MigrateConnection(1))
 
         world.verbs |= {"crossing": crossing, "now": now}
 
@@ -349,12 +350,12 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, *delays: float) -> None:
         self.asked, self._delays = 0, list(delays)
-        monkeypatch.setattr(upstream, "dial", self.dial)
+        monkeypatch.setattr(upstream, "open_line_stream", self.dial)
 
     async def dial(self, address: tuple[str, int]) -> object:
         self.asked += 1
         await trio.sleep(self._delays.pop(0) if self._delays else 0.0)
-        return await dial(address)
+        return await open_line_stream(address)
 
 
 @pytest.mark.parametrize("how", ["close", "reset", "part junk\\r\\n\nc reset"])
@@ -514,30 +515,30 @@
 @pytest.mark.parametrize("script", PROBES.values(), ids=PROBES.keys())
 def test_a_probe_crosses(script: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def asks(world: scenario.World) -> None:
-        resolver = Resolver(world.core, ("127.0.0.1", 1), NAMES)
+        watcher = EndpointWatcher(world.engine, ("127.0.0.1", 1), NAMES)
         body = await listen(world)
-        resolver.known(body)
-        prober = Prober(world.core, resolver, ("x0",), 8)
-        world.nursery.start_soon(prober.run)
+        watcher.load_cached(body)
+        poller = LoadReportPoller(world.engine, watcher, ("x0",), 8)
+        world.nursery.start_soon(poller.run)
         told, told_to = trio.open_memory_channel[str](9)
 
         def probed(server: EndpointId, elapsed: float, report: tuple[float, ...]) -> None:
             told.send_nowait(f"{server}={report[0]}")
 
-        monkeypatch.setattr(world.core, "probed", probed)
+        monkeypatch.setattr(world.engine, "load_report_received", probed)
 
         async def probe(server: str) -> None:
-            world.core._to_probe.send_nowait(server)
+            world.engine._load_report_requests.send_nowait(server)
 
         async def expect(what: str) -> None:
             assert await told_to.receive() == what
 
         async def swap(_: str) -> None:
             names = body.replace(b'"a"', b'"c"').replace(b'"b"', b'"a"').replace(b'"c"', b'"b"')
-            resolver.known(names)
+            watcher.load_cached(names)
 
         async def idle(_: str) -> None:
-            scenario.BeforeStep("Prober._stand", lambda: prober._open["a"].send_nowait(None))
+            scenario.BeforeStep("LoadReportPoller._stand", lambda: poller._open["a"].send_nowait(None))
 
         world.verbs |= {"probe": probe, "told": expect, "swap": swap, "idle": idle}
 
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -12,43 +12,43 @@
 import trio
 
 from walkloom import config
-from walkloom.discovery.watcher import Resolver
+from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.frontends.quic import settings as quic_settings
 from walkloom.frontends.quic.settings import QuicConfig
-from walkloom.server import Instance
+from walkloom.server import BalancerServer
 
 log = logging.getLogger("walkloom")
-QUIC_FILE = Path("deploy/quic.toml")  # an operator's; without it the second front is off
+QUIC_FILE = Path("deploy/quic.toml")  # an operator's; without it the second frontend is off
 
 
 async def run(conf: config.Config, quic: QuicConfig | None, early: list[int]) -> None:
     """early: SIGHUPs that came before the receiver stood."""
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            instance: Instance = await nursery.start(Instance.serve, conf, quic)
+            server: BalancerServer = await nursery.start(BalancerServer.serve, conf, quic)
             if early:
-                reload(conf, instance.resolver)
+                reload(conf, server.watcher)
             stop = trio.Event()
-            nursery.start_soon(heed, signals, conf, instance.resolver, stop)
+            nursery.start_soon(heed, signals, conf, server.watcher, stop)
             await stop.wait()
-            await instance.leave()
+            await server.shut_down()
             nursery.cancel_scope.cancel()
     log.info("left")
 
 
 async def heed(
-    signals: AsyncIterator[int], conf: config.Config, resolver: Resolver, stop: trio.Event
+    signals: AsyncIterator[int], conf: config.Config, watcher: EndpointWatcher, stop: trio.Event
 ) -> None:
     """Takes signals to the end: one that nobody took would end the program as its receiver closes, with a
     status of its own."""
     async for number in signals:
         if number == signal.SIGHUP:
-            reload(conf, resolver)
+            reload(conf, watcher)
         else:
             stop.set()
 
 
-def reload(conf: config.Config, resolver: Resolver) -> None:
+def reload(conf: config.Config, watcher: EndpointWatcher) -> None:
     """SIGHUP: the watch moves to the discovery that the file names now; all else waits for a restart."""
     try:
         new = config.load()
@@ -60,7 +60,7 @@
     log.info(
         "reload discovery=%s:%d restart-for=%s", *new.discovery, ",".join(conf.fixed_changes(new)) or "-"
     )
-    resolver.move(new.discovery)
+    watcher.change_discovery(new.discovery)
 
 
 def main() -> int:
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -26,13 +26,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Names:
+class SettingNames:
     """The settings' names, in the order in which the module numbers them."""
 
     classes: tuple[str, ...]
     tenants: tuple[str, ...]
     zones: tuple[str, ...]
-    kinds: tuple[str, ...]
+    machine_types: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,7 @@
     sockets: int  # descriptors that this process may hold
     known: bytes  # the list as this balancer had it last, in discovery's form
     settings: Settings
-    names: Names
+    names: SettingNames
     fields: tuple[str, ...]  # of a load report, in the settings' order
     connect_timeout: float  # ms
     longest: float  # the longest time that a client waits for its answer, ms
@@ -95,12 +95,12 @@
     )
 
 
-def _settings(data: Any) -> tuple[Settings, Names, tuple[str, ...], float, float]:
+def _settings(data: Any) -> tuple[Settings, SettingNames, tuple[str, ...], float, float]:
     """For the module; all names; fields of a load report; connect timeout and longest deadline in ms."""
-    profile = codec.Profile(codec.paths_of(data))
+    profile = codec.SettingsReader(codec.flatten_settings(data))
     # on sockets loads are asked before a placement; the simulator's wire tells more without
     settings = replace(codec.settings(profile), server_reports_latency=False)
-    names = Names(
+    names = SettingNames(
         _names(data, "classes"), _names(data, "accounts"), _names(data, "azs"), _names(data, "kinds")
     )
     if len(set(names.classes)) < len(names.classes):
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -1,4 +1,4 @@
-"""The resolver: keeps a watch on discovery, one call at a time, and hands its results to the core."""
+"""The watcher: keeps a watch on discovery, one call at a time, and hands its results to the engine."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 import orjson
 import trio
 
-from walkloom.config import Names, address
-from walkloom.engine.engine import Core
+from walkloom.config import SettingNames, address
+from walkloom.engine.engine import Engine
 from walkloom.messages import Endpoint, EndpointId, Lifecycle, UpdateKind
 
 log = logging.getLogger("walkloom")
@@ -29,7 +29,7 @@
 _STATES = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "removed": Lifecycle.REMOVED}
 
 
-class ResolverError(Exception):
+class DiscoveryError(Exception):
     """A call that brought no result; the text says why."""
 
 
@@ -43,7 +43,7 @@
     addresses: dict[EndpointId, tuple[str, int]]
 
 
-def decode(body: bytes, names: Names) -> Result:
+def decode(body: bytes, names: SettingNames) -> Result:
     try:
         data = orjson.loads(body)
         servers, addresses, odd = [], {}, []
@@ -62,10 +62,10 @@
             raise ValueError("no entry in a known form")
         return Result(int(data["generation"]), bool(data["reset"]), tuple(servers), addresses)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise ResolverError(f"malformed: {error!r}") from None
+        raise DiscoveryError(f"malformed: {error!r}") from None
 
 
-def _entry(x: dict[str, Any], names: Names) -> tuple[Endpoint, tuple[str, int]]:
+def _entry(x: dict[str, Any], names: SettingNames) -> tuple[Endpoint, tuple[str, int]]:
     """One server and its address; what is optional may lack or be null."""
 
     def number(key: str, default: float) -> float:
@@ -74,7 +74,7 @@
     server = Endpoint(
         id=str(x["instanceId"]),
         zone=_index(names.zones, x.get("zone")),
-        machine_type=_index(names.kinds, x.get("machineType")),
+        machine_type=_index(names.machine_types, x.get("machineType")),
         cell=int(number("cell", 0.0)),
         lifecycle=_STATES[x["lifecycle"]],
         capacity_weight=number("weight", 1.0),
@@ -88,32 +88,32 @@
     return names.index(name) if name in names else len(names)
 
 
-class Resolver:
-    def __init__(self, core: Core, discovery: tuple[str, int], names: Names) -> None:
-        self._core, self._discovery, self._names = core, discovery, names
+class EndpointWatcher:
+    def __init__(self, engine: Engine, discovery: tuple[str, int], names: SettingNames) -> None:
+        self._engine, self._discovery, self._names = engine, discovery, names
         self._addresses: dict[EndpointId, tuple[str, int]] = {}
         self._generation: int | None = 0  # None: the whole list is wanted, whatever its version
         self._calls = trio.CancelScope()
         # a pushed list lies with an agent on this machine, which answers at once unless it is silent; all it
         # has counts as told, so that an answer must come well within the grace after which a drain binds
-        self._pushed = not core.settings.polls_endpoint_list
-        self._agent_s = min(core.settings.drain_grace_ms / 2000.0, SLACK_S)
+        self._pushed = not engine.settings.polls_endpoint_list
+        self._agent_s = min(engine.settings.drain_grace_ms / 2000.0, SLACK_S)
         self._first = trio.Event()
 
     def address(self, server: EndpointId) -> tuple[str, int] | None:
         return self._addresses.get(server)
 
-    def known(self, body: bytes) -> None:
+    def load_cached(self, body: bytes) -> None:
         """The list as it was last held, before any call."""
         try:
             self._take(decode(body, self._names), UpdateKind.CACHED)
-        except ResolverError as error:
+        except DiscoveryError as error:
             log.warning("resolver-known-unusable error=%r", str(error))
-            self._core.list_came(UpdateKind.CACHED)
+            self._engine.endpoint_list_received(UpdateKind.CACHED)
         if self._pushed:
             self._generation = None
 
-    async def started(self) -> None:
+    async def wait_until_ready(self) -> None:
         """Returns once clients may come. Guards rule 3: what the agent has counts as told from the start of a
         process, and the list as it was last held may be older. A silent agent is not waited for."""
         if self._pushed:
@@ -135,32 +135,32 @@
                 *(LOGGED_KINDS.get(kind, kind.name), server.id, server.zone),
                 LOGGED_STATES.get(server.lifecycle, server.lifecycle.name),
             )
-        self._core.list_came(kind, result.servers)
+        self._engine.endpoint_list_received(kind, result.servers)
         if kind is not UpdateKind.CACHED:
             self._first.set()
 
     async def run(self) -> None:
         """Watches whenever the module asks for it; a failed watch is told, the module says when to go on."""
         while True:
-            await self._core.watch_wanted()
+            await self._engine.wait_for_watch_request()
             with trio.CancelScope() as self._calls:
                 try:
                     await self._watch()
-                except (ResolverError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+                except (DiscoveryError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
                     if not self._calls.cancel_called:  # a call to the discovery before this one tells nothing
                         self._lost(str(error) or repr(error))
-                        self._core.list_came(UpdateKind.FAILED)
+                        self._engine.endpoint_list_received(UpdateKind.FAILED)
 
     def _lost(self, error: str) -> None:
         log.warning("resolver-failed error=%r", error)
         if self._pushed:  # the whole list comes at once when the agent speaks again, where a watch might wait
             self._generation = None
 
-    def move(self, discovery: tuple[str, int]) -> None:
+    def change_discovery(self, discovery: tuple[str, int]) -> None:
         """Discovery is at another address: the call in flight ends, the next wants the whole list."""
         self._discovery, self._generation = discovery, None
         self._calls.cancel()
-        self._core.list_moved()
+        self._engine.discovery_changed()
 
     async def _watch(self) -> None:
         while True:
@@ -185,7 +185,7 @@
                     if http.trailing_data[
                         0
                     ].strip():  # guards the next call against an answer that is not its own
-                        raise ResolverError("an answer to no call")
+                        raise DiscoveryError("an answer to no call")
                     if set(http.states.values()) == {h11.DONE}:
                         http.start_next_cycle()
                     early = trio.current_time() - asked_at < PACE_S and not result.servers
@@ -198,7 +198,7 @@
     async def _connect(self) -> trio.SocketStream:
         with trio.move_on_after(CONNECT_S):
             return await trio.open_tcp_stream(*self._discovery)
-        raise ResolverError("does not accept")
+        raise DiscoveryError("does not accept")
 
     async def _call(self, stream: trio.SocketStream, http: h11.Connection) -> bytes:
         host = "{}:{}".format(*self._discovery)
@@ -213,12 +213,12 @@
             if event is h11.NEED_DATA:
                 http.receive_data(await stream.receive_some(65_536))
             elif isinstance(event, h11.Response) and event.status_code != 200:
-                raise ResolverError(f"status {event.status_code}")
+                raise DiscoveryError(f"status {event.status_code}")
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > LARGEST:
-                    raise ResolverError("too large")
+                    raise DiscoveryError("too large")
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             elif isinstance(event, h11.ConnectionClosed):
-                raise ResolverError("closed")
+                raise DiscoveryError("closed")
--- a/walkloom/engine/load_signal.py
+++ b/walkloom/engine/load_signal.py
@@ -14,15 +14,15 @@
 EVERY_MS, EARLY_MS = 1000.0, 100.0  # from one delay of a row to the next, but for our own lateness
 
 
-class Notes:
+class LoadSignalClassifier:
     """What is known of the rows of delays, by server; bounded by the servers that tell any."""
 
     def __init__(self, aim: float) -> None:
         """aim: the shortest that a message on an open connection has, ms; inf where there is none."""
-        self._aim = aim
+        self._latency_objective_ms = aim
         self._last: dict[EndpointId, float] = {}  # when each server that is in a row last told a delay
 
-    def told(self, server: EndpointId, value: float, now: float) -> tuple[SignalKind, float]:
+    def classify(self, server: EndpointId, value: float, now: float) -> tuple[SignalKind, float]:
         """What X means, and its value. The first delay of a row is told as the aim at most: it might be the
         load of a connection that fell idle, for which nobody should be moved. now: ms. Else ValueError."""
         if not 0.0 <= value <= LOAD_MOST:  # guards the module: one nan would spoil its means for good
@@ -31,10 +31,10 @@
             return SignalKind.LOAD, value
         since = now - self._last.get(server, -1e12)
         in_row = abs(since - EVERY_MS) <= EARLY_MS
-        if value > self._aim / 3:
+        if value > self._latency_objective_ms / 3:
             if in_row or since > EVERY_MS:  # else an idle connection's load between two delays
                 self._last[server] = now
-                return SignalKind.MESSAGE_DELAY, value if in_row else min(value, self._aim)
+                return SignalKind.MESSAGE_DELAY, value if in_row else min(value, self._latency_objective_ms)
         elif in_row:
             del self._last[server]
             return SignalKind.MESSAGE_DELAY, value
--- a/walkloom/frontends/line/placement.py
+++ b/walkloom/frontends/line/placement.py
@@ -1,4 +1,4 @@
-"""Stage 2: places an RPC: orders come from the core, attempts go out one after another."""
+"""Stage 2: places an RPC: commands come from the engine, attempts go out one after another."""
 
 from __future__ import annotations
 
@@ -6,39 +6,43 @@
 
 import trio
 
-from walkloom.discovery.watcher import Resolver
-from walkloom.engine.engine import Core, Ticket
-from walkloom.frontends.line.request_line import Opening
-from walkloom.frontends.line.upstream import Up, attempt
+from walkloom.discovery.watcher import EndpointWatcher
+from walkloom.engine.engine import Engine, RequestHandle
+from walkloom.frontends.line.request_line import RequestLine
+from walkloom.frontends.line.upstream import EstablishedUpstream, start_attempt
 from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
 
 STOOD_TRIES, STOOD_PAUSE_S, STOOD_WAIT_MS = 3, 1.0, 10_000.0
 
 
 async def place(
-    core: Core, resolver: Resolver, ticket: Ticket, opening: Opening, setup: float
-) -> Up | Reject | Fail:
-    """The subchannel that took the RPC, or the module's final answer."""
+    engine: Engine, watcher: EndpointWatcher, handle: RequestHandle, request_line: RequestLine, setup: float
+) -> EstablishedUpstream | Reject | Fail:
+    """The upstream connection that took the RPC, or the module's final answer."""
     while True:
-        order = await ticket.order()
-        if isinstance(order, Reject | Fail):
-            return order
-        if isinstance(order, StartAttempt):
-            until = min(ticket.sent_at + (order.timeout_ms or math.inf), ticket.deadline)
-            result = await attempt(core, ticket, opening, resolver.address(order.endpoint_id), until, setup)
-            if isinstance(result, Up):
-                ticket.established()
+        command = await handle.next_command()
+        if isinstance(command, Reject | Fail):
+            return command
+        if isinstance(command, StartAttempt):
+            until = min(handle.attempt_started_at + (command.timeout_ms or math.inf), handle.deadline)
+            address = watcher.address(command.endpoint_id)
+            result = await start_attempt(engine, handle, request_line, address, until, setup)
+            if isinstance(result, EstablishedUpstream):
+                handle.report_established()
                 return result
-            ticket.ended(result)
+            handle.report_ended(result)
 
 
-async def rejoin(core: Core, resolver: Resolver, ticket: Ticket, opening: Opening, setup: float) -> Up | Fail:
-    """A connection that stood before this balancer started goes back to its own subchannel."""
+async def rejoin(
+    engine: Engine, watcher: EndpointWatcher, handle: RequestHandle, request_line: RequestLine, setup: float
+) -> EstablishedUpstream | Fail:
+    """A connection that stood before this balancer started goes back to its own upstream connection."""
     for _ in range(STOOD_TRIES):
-        until = core.now() + STOOD_WAIT_MS
-        result = await attempt(core, ticket, opening, resolver.address(ticket.server), until, setup)
-        if isinstance(result, Up):
+        until = engine.now() + STOOD_WAIT_MS
+        address = watcher.address(handle.endpoint_id)
+        result = await start_attempt(engine, handle, request_line, address, until, setup)
+        if isinstance(result, EstablishedUpstream):
             return result
         await trio.sleep(STOOD_PAUSE_S)
-    ticket.ended(AttemptStatus.CONNECTION_RESET, closed=True)
-    return Fail(ticket.id)
+    handle.report_ended(AttemptStatus.CONNECTION_RESET, closed=True)
+    return Fail(handle.id)
--- a/walkloom/frontends/line/relay.py
+++ b/walkloom/frontends/line/relay.py
@@ -7,14 +7,13 @@
 
 import trio
 
-from walkloom.engine.engine import Ticket
-from walkloom.frontends.line.upstream import verb
+from walkloom.engine.engine import RequestHandle
 from walkloom.messages import AttemptStatus, MigrateConnection
-from walkloom.transport.line_stream import LINGER_S, LineError, Lines
-from walkloom.transport.rate_limited_log import Tally
+from walkloom.transport.line_stream import LINGER_S, LineError, LineStream, first_word
+from walkloom.transport.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("walkloom")
-_malformed = Tally("channel-malformed")
+_malformed = RateLimitedLog("channel-malformed")
 SILENT_MS = 4000.0  # a line that has not come back for so long: its machine is gone or cut off
 LOOK_S = 0.25
 LOGGED = {AttemptStatus.CONNECTION_RESET: "RESET"}  # the log's words where they are not the names
@@ -25,32 +24,32 @@
 
 
 class Relay:
-    def __init__(self, ticket: Ticket, channel: Lines, subchannel: Lines) -> None:
-        self.ticket, self.channel, self.subchannel = ticket, channel, subchannel
+    def __init__(self, handle: RequestHandle, client: LineStream, upstream: LineStream) -> None:
+        self.handle, self.client, self.upstream = handle, client, upstream
         self.status = AttemptStatus.CANCELLED
-        self.last = b""  # the newest verb from the subchannel: BYE or MOVE explain an end
+        self.last = b""  # the newest verb from the upstream connection: BYE or MOVE explain an end
         self._moved = False
 
     async def run(self, receipt: bytes) -> None:
-        """Tells the outcome and closes the subchannel; the channel is left to its owner."""
+        """Tells the outcome and closes the upstream connection; the client's is left to its owner."""
         try:
-            await self.channel.send(receipt)
+            await self.client.send(receipt)
             async with trio.open_nursery() as nursery:
-                for part in (self._upward, self._downward, self._orders, self._silence):
+                for part in (self._upward, self._downward, self._commands, self._silence):
                     nursery.start_soon(self._first, part, nursery.cancel_scope)
         except trio.BrokenResourceError:  # the client left as its receipt was on the way
             self.status = AttemptStatus.CANCELLED
         finally:
             log.info(
                 "rpc-end request=%d server=%s status=%s",
-                self.ticket.id,
-                self.ticket.server,
+                self.handle.id,
+                self.handle.endpoint_id,
                 LOGGED.get(self.status, self.status.name),
             )
             # at once: guards against moving clients that left already and only take their time to close
-            self.ticket.ended(self.status, closed=True)
+            self.handle.report_ended(self.status, closed=True)
             with trio.CancelScope(shield=True):
-                await self.subchannel.close()
+                await self.upstream.close()
 
     def owes_move(self, cut: bool) -> bool:
         """Whether the client is still to be told to move. cut: the balancer's end ended the relay, after all
@@ -67,59 +66,59 @@
 
     async def _upward(self) -> AttemptStatus:
         try:
-            while data := await self.channel.whole():
+            while data := await self.client.read_complete_lines():
                 for _ in range(data.count(b"\n")):
-                    self.ticket.line_sent()
+                    self.handle.record_line_forwarded()
                 try:
-                    await self.subchannel.send(data)
+                    await self.upstream.send(data)
                 except trio.BrokenResourceError:
                     await trio.sleep_forever()  # the other way reads why it broke, and what came before
-            await self.subchannel.finish()
+            await self.upstream.send_eof()
             await trio.sleep(LINGER_S)  # the server's last lines still go down
         except LineError as error:
-            _malformed.count(f"request {self.ticket.id}: {error}")
+            _malformed.count(f"request {self.handle.id}: {error}")
         except trio.BrokenResourceError:
-            await self.subchannel.reset()
+            await self.upstream.reset()
         return AttemptStatus.CANCELLED
 
     async def _downward(self) -> AttemptStatus:
         try:
-            while data := await self.subchannel.whole():
+            while data := await self.upstream.read_complete_lines():
                 for line in data.splitlines():
                     self._heard(line)
                 try:
-                    await self.channel.send(data)
+                    await self.client.send(data)
                 except trio.BrokenResourceError:
                     return AttemptStatus.CANCELLED
         except LineError as error:
-            log.warning("subchannel-malformed server=%s error=%r", self.ticket.server, str(error))
+            log.warning("subchannel-malformed server=%s error=%r", self.handle.endpoint_id, str(error))
         except trio.BrokenResourceError:
-            await self.channel.reset()
+            await self.client.reset()
             return AttemptStatus.CONNECTION_RESET
-        if self.channel.ended:
+        if self.client.ended:
             return AttemptStatus.CANCELLED
         return FAREWELLS.get(self.last, AttemptStatus.CONNECTION_RESET)
 
     def _heard(self, line: bytes) -> None:
-        self.last = verb(line)
+        self.last = first_word(line)
         if self.last == b"LOAD":
             try:
-                self.ticket.load(float(line.split()[1]))
+                self.handle.report_load_signal(float(line.split()[1]))
             except (IndexError, ValueError):
-                log.warning("subchannel-odd server=%s line=%r", self.ticket.server, line[:80])
+                log.warning("subchannel-odd server=%s line=%r", self.handle.endpoint_id, line[:80])
         elif self.last not in FAREWELLS:
-            self.ticket.line_returned()
+            self.handle.record_line_returned()
 
-    async def _orders(self) -> AttemptStatus:
-        while not isinstance(await self.ticket.order(), MigrateConnection):
+    async def _commands(self) -> AttemptStatus:
+        while not isinstance(await self.handle.next_command(), MigrateConnection):
             pass
-        log.info("rpc-moved request=%d server=%s", self.ticket.id, self.ticket.server)
+        log.info("rpc-moved request=%d server=%s", self.handle.id, self.handle.endpoint_id)
         self._moved = True
         return AttemptStatus.CANCELLED
 
     async def _silence(self) -> AttemptStatus:
-        while self.ticket.oldest() < SILENT_MS:
+        while self.handle.oldest_pending_line_ms() < SILENT_MS:
             await trio.sleep(LOOK_S)
-        log.warning("subchannel-silent server=%s request=%d", self.ticket.server, self.ticket.id)
+        log.warning("subchannel-silent server=%s request=%d", self.handle.endpoint_id, self.handle.id)
         self._moved = True
         return AttemptStatus.CONNECTION_RESET
--- a/walkloom/frontends/line/upstream.py
+++ b/walkloom/frontends/line/upstream.py
@@ -1,4 +1,4 @@
-"""Stage 3: connects one attempt to a subchannel, and maps what comes back to its outcome."""
+"""Stage 3: connects one attempt to an upstream connection, and maps what comes back to its outcome."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 import trio
 
-from walkloom.engine.engine import Core, Ticket
-from walkloom.frontends.line.request_line import Opening
+from walkloom.engine.engine import Engine, RequestHandle
+from walkloom.frontends.line.request_line import RequestLine
 from walkloom.messages import AttemptStatus
-from walkloom.transport.line_stream import LineError, Lines
+from walkloom.transport.line_stream import LineError, LineStream, first_word, open_line_stream
 
 log = logging.getLogger("walkloom")
 _OUTCOMES = {
@@ -22,66 +22,57 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Up:
-    subchannel: Lines
+class EstablishedUpstream:
+    stream: LineStream
     receipt: bytes
 
 
-def verb(line: bytes) -> bytes:
-    return line.split(None, 1)[0] if line.strip() else b""
-
-
-async def attempt(
-    core: Core, ticket: Ticket, opening: Opening, address: tuple[str, int] | None, until: float, setup: float
-) -> Up | AttemptStatus:
+async def start_attempt(
+    engine: Engine,
+    handle: RequestHandle,
+    request_line: RequestLine,
+    address: tuple[str, int] | None,
+    until: float,
+    setup: float,
+) -> EstablishedUpstream | AttemptStatus:
     """One attempt, from its connection to its first answer; whatever did not come up is closed on return."""
     if address is None:
         return AttemptStatus.CONNECT_FAILED
-    subchannel: Lines | None = None
+    upstream: LineStream | None = None
     up = False
     try:
-        with trio.move_on_after(min(setup, max(until - core.now(), 0.0)) / 1000.0):
-            subchannel = await dial(address)
-        if subchannel is None:
+        with trio.move_on_after(min(setup, max(until - engine.now(), 0.0)) / 1000.0):
+            upstream = await open_line_stream(address)
+        if upstream is None:
             return AttemptStatus.CONNECT_FAILED
-        left = until - core.now()
+        left = until - engine.now()
         # connecting took time in which the deadline may have passed
-        if left <= 0 or not (ticket.up or ticket.may_begin()):
+        if left <= 0 or not (handle.is_established or handle.may_start_sending()):
             return AttemptStatus.NOT_SENT
         try:
-            await subchannel.send(opening.for_subchannel(left))
+            await upstream.send(request_line.for_upstream(left))
         except trio.BrokenResourceError:
             return AttemptStatus.CONNECT_FAILED
         with trio.move_on_after(left / 1000.0):
-            line = await subchannel.line()
-            if verb(line) == b"UP":
+            line = await upstream.read_line()
+            if first_word(line) == b"UP":
                 up = True
-                return Up(subchannel, line)
-            if line and verb(line) not in _OUTCOMES:
-                log.warning("subchannel-odd server=%s line=%r", ticket.server, line[:80])
-            return _OUTCOMES.get(verb(line), AttemptStatus.ERROR) if line else AttemptStatus.CONNECTION_RESET
+                return EstablishedUpstream(upstream, line)
+            if line and first_word(line) not in _OUTCOMES:
+                log.warning("subchannel-odd server=%s line=%r", handle.endpoint_id, line[:80])
+            return (
+                _OUTCOMES.get(first_word(line), AttemptStatus.ERROR)
+                if line
+                else AttemptStatus.CONNECTION_RESET
+            )
         return AttemptStatus.TIMED_OUT
     except OSError as error:  # guards a sound server against blame for our lack of a descriptor
-        log.error("attempt-unsent server=%s error=%r", ticket.server, str(error))
+        log.error("attempt-unsent server=%s error=%r", handle.endpoint_id, str(error))
         return AttemptStatus.NOT_SENT
     except LineError:
         return AttemptStatus.ERROR
     except trio.BrokenResourceError:
         return AttemptStatus.CONNECTION_RESET
     finally:
-        if subchannel and not up:  # closed before the next attempt goes out: never two at once
-            await subchannel.close()
-
-
-async def dial(address: tuple[str, int]) -> Lines | None:
-    """None if nothing accepts there; OSError if we have no descriptor left."""
-    sock = trio.socket.socket()
-    try:
-        await sock.connect(address)
-    except OSError:
-        sock.close()
-        return None
-    except BaseException:
-        sock.close()
-        raise
-    return Lines(trio.SocketStream(sock))
+        if upstream and not up:  # closed before the next attempt goes out: never two at once
+            await upstream.close()
--- a/walkloom/frontends/quic/flow.py
+++ b/walkloom/frontends/quic/connection.py
@@ -9,26 +9,26 @@
 
 import trio
 
-from walkloom.engine.engine import Ticket
+from walkloom.engine.engine import RequestHandle
 from walkloom.frontends.quic import initial
 from walkloom.frontends.quic.packet import Kind, Packet, PacketError, parse
 from walkloom.frontends.quic.settings import Target
 from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
 
 if TYPE_CHECKING:
-    from walkloom.frontends.quic.front import QuicFront
+    from walkloom.frontends.quic.frontend import QuicFrontend
 
 log = logging.getLogger("walkloom")
 Address = tuple[str, int]
-PENDING, IDS, PATHS = 8, 8, 4  # most datagrams kept during set-up, ids and client addresses of one flow
+PENDING, IDS, PATHS = 8, 8, 4  # most datagrams kept during set-up, ids and client addresses of one connection
 IDLE_S, SILENT_S, SILENT_PACKETS = 60.0, 5.0, 3  # a few may need no answer: acknowledgements alone
 LOOK_S, CLOSING_S = 0.25, 3.0
 LARGEST = 65_535
 
 
-class Flow:
-    def __init__(self, front: QuicFront, ticket: Ticket, client: Address) -> None:
-        self.front, self.ticket, self.client = front, ticket, client
+class QuicConnection:
+    def __init__(self, frontend: QuicFrontend, handle: RequestHandle, client: Address) -> None:
+        self.frontend, self.handle, self.client = frontend, handle, client
         self.ids: list[bytes] = []
         self.first_dcid, self.client_id = b"", b""  # of the newest Initial: what its keys come from
         self.pending: list[bytes] = []
@@ -43,14 +43,14 @@
     def learn(self, cid: bytes) -> None:
         if cid and cid not in self.ids and len(self.ids) < IDS:
             self.ids.append(cid)
-            self.front.flows[cid] = self
+            self.frontend.connections[cid] = self
 
     async def receive(self, packet: Packet, data: bytes, client: Address) -> None:
         """One datagram from the client."""
         self.quiet_since = trio.current_time()
         if self.closing:
-            return await self.front.send(self.closing, client)
-        if not self.ticket.up:
+            return await self.frontend.send(self.closing, client)
+        if not self.handle.is_established:
             self.client = client
             if (
                 packet.kind is Kind.INITIAL and packet.dcid != self.first_dcid
@@ -58,9 +58,11 @@
                 self.first_dcid, self.client_id, self.pending = packet.dcid, packet.scid, []
             if len(self.pending) < PENDING:
                 self.pending.append(data)
-        if self._nursery and client not in self.paths and self.ticket.up:
+        if self._nursery and client not in self.paths and self.handle.is_established:
             await self._new_path(client)
-        sock = self.paths.get(client) or (None if self.ticket.up else next(iter(self.paths.values()), None))
+        sock = self.paths.get(client) or (
+            None if self.handle.is_established else next(iter(self.paths.values()), None)
+        )
         if sock:
             self._unanswered += 1
             self._asked_at = min(self._asked_at, self.quiet_since)
@@ -68,18 +70,18 @@
                 await sock.send(data)
 
     async def live(self) -> None:
-        """Orders come from the core, attempts go out one by one; then packets pass until it is quiet."""
+        """Orders come from the engine, attempts go out one by one; then packets pass until it is quiet."""
         try:
             while True:
-                order = await self.ticket.order()
-                if isinstance(order, Reject | Fail):
+                command = await self.handle.next_command()
+                if isinstance(command, Reject | Fail):
                     return await self._refuse()
-                if isinstance(order, StartAttempt):
-                    status = await self._attempt(order)
+                if isinstance(command, StartAttempt):
+                    status = await self._attempt(command)
                     if status is None:
                         break
                     self._close_paths()
-                    self.ticket.ended(status)
+                    self.handle.report_ended(status)
             await self._carry()
         finally:
             self._end()
@@ -93,29 +95,29 @@
         finally:
             self._end()
 
-    async def _attempt(self, order: StartAttempt) -> AttemptStatus | None:
+    async def _attempt(self, command: StartAttempt) -> AttemptStatus | None:
         """None once the server's packets show that the connection stands."""
-        core, target = self.front.core, self.front.targets.get(str(order.endpoint_id))
-        until = min(self.ticket.sent_at + (order.timeout_ms or math.inf), self.ticket.deadline)
-        if target is None or not self.ticket.may_begin():
-            log.warning("quic-unsent server=%s", order.endpoint_id)
+        engine, target = self.frontend.engine, self.frontend.targets.get(str(command.endpoint_id))
+        until = min(self.handle.attempt_started_at + (command.timeout_ms or math.inf), self.handle.deadline)
+        if target is None or not self.handle.may_start_sending():
+            log.warning("quic-unsent server=%s", command.endpoint_id)
             return AttemptStatus.NOT_SENT
         try:
-            with trio.move_on_after(max(until - core.now(), 0.0) / 1000.0):
+            with trio.move_on_after(max(until - engine.now(), 0.0) / 1000.0):
                 sock = await self._open(target)
                 for data in self.pending:
                     await sock.send(data)
                 while True:
                     answer = await sock.recv(LARGEST)
                     with suppress(PacketError):
-                        packet = parse(answer, self.front.form.length)
+                        packet = parse(answer, self.frontend.form.length)
                         if (status := self._refused(packet, answer)) is not None:
                             return status
                         self.learn(packet.scid)
-                        await self.front.send(answer, self.client)
+                        await self.frontend.send(answer, self.client)
                         if packet.kind in (Kind.INITIAL, Kind.HANDSHAKE):
                             self._answered()
-                            self.ticket.established()
+                            self.handle.report_established()
                             return None
         except OSError:  # refused by ICMP: nothing listens there
             return AttemptStatus.CONNECT_FAILED
@@ -131,10 +133,10 @@
 
     async def _refuse(self) -> None:
         """The final answer in QUIC's own form; Initials sent again get the same for a while."""
-        self.closing = initial.refusal(self.first_dcid, self.client_id, self.front.unroutable_id())
-        log.info("quic-unavailable request=%d", self.ticket.id)
+        self.closing = initial.refusal(self.first_dcid, self.client_id, self.frontend.unroutable_id())
+        log.info("quic-unavailable request=%d", self.handle.id)
         with suppress(OSError):
-            await self.front.send(self.closing, self.client)
+            await self.frontend.send(self.closing, self.client)
         await trio.sleep(CLOSING_S)
 
     async def _open(self, target: Target) -> trio.socket.SocketType:
@@ -144,12 +146,12 @@
 
     async def _new_path(self, client: Address) -> None:
         """The client's address changed: its packets still go to the same server."""
-        target = self.front.targets[str(self.ticket.server)]
+        target = self.frontend.targets[str(self.handle.endpoint_id)]
         if len(self.paths) >= PATHS:
             self.paths.pop(next(iter(self.paths))).close()
         self.client = client
         sock = await self._open(target)
-        log.info("quic-address-changed request=%d server=%s", self.ticket.id, target.server)
+        log.info("quic-address-changed request=%d server=%s", self.handle.id, target.server)
         if self._nursery:
             self._nursery.start_soon(self._downward, sock, client)
 
@@ -159,11 +161,11 @@
             async with trio.open_nursery() as self._nursery:
                 for client, sock in self.paths.items():
                     self._nursery.start_soon(self._downward, sock, client)
-                self._nursery.start_soon(self._orders)
+                self._nursery.start_soon(self._commands)
                 status = await self._until_over()
                 self._nursery.cancel_scope.cancel()
         finally:
-            self.ticket.ended(status, closed=True)
+            self.handle.report_ended(status, closed=True)
 
     async def _downward(self, sock: trio.socket.SocketType, client: Address) -> None:
         while True:
@@ -177,9 +179,9 @@
                 return
             self._answered()
             with suppress(PacketError):
-                self.learn(parse(data, self.front.form.length).scid)
+                self.learn(parse(data, self.frontend.form.length).scid)
             with suppress(OSError):
-                await self.front.send(data, client)
+                await self.frontend.send(data, client)
 
     def _answered(self) -> None:
         self.quiet_since = trio.current_time()
@@ -196,15 +198,15 @@
                 break
             if now - self.quiet_since > IDLE_S:
                 return AttemptStatus.OK
-        log.warning("quic-server-lost server=%s request=%d", self.ticket.server, self.ticket.id)
+        log.warning("quic-server-lost server=%s request=%d", self.handle.endpoint_id, self.handle.id)
         return AttemptStatus.CONNECTION_RESET
 
-    async def _orders(self) -> None:
+    async def _commands(self) -> None:
         """A balancer cannot tell a QUIC client to move; when it stops itself, others route its ids."""
         while True:
-            await self.ticket.order()
-            self._leaving = self.front.core.stopping
-            self.front.count("moves-untold")
+            await self.handle.next_command()
+            self._leaving = self.frontend.engine.stopping
+            self.frontend.count("moves-untold")
 
     def _close_paths(self) -> None:
         for sock in self.paths.values():
@@ -214,5 +216,5 @@
     def _end(self) -> None:
         self._close_paths()
         for cid in self.ids:
-            self.front.flows.pop(cid, None)
-        self.ticket.close()
+            self.frontend.connections.pop(cid, None)
+        self.handle.close()
--- a/walkloom/frontends/quic/front.py
+++ b/walkloom/frontends/quic/frontend.py
@@ -1,4 +1,4 @@
-"""The UDP side: reads datagrams, finds the flow or the server by connection id, counts what is dropped."""
+"""The UDP side: reads datagrams, finds their connection or server by connection id, counts the dropped."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 import trio
 
-from walkloom.engine.engine import Core
-from walkloom.frontends.quic.flow import LARGEST, Address, Flow
+from walkloom.engine.engine import Engine
+from walkloom.frontends.quic.connection import LARGEST, Address, QuicConnection
 from walkloom.frontends.quic.packet import (
     FIRST_ID_LEAST,
     INITIAL_LEAST,
@@ -26,12 +26,12 @@
 REPORT_S = 10.0
 
 
-class QuicFront:
-    def __init__(self, core: Core, conf: QuicConfig) -> None:
-        self.core, self._conf, self.form = core, conf, conf.form
+class QuicFrontend:
+    def __init__(self, engine: Engine, conf: QuicConfig) -> None:
+        self.engine, self._conf, self.form = engine, conf, conf.form
         self.targets = {t.server: t for t in conf.targets}
         self._by_id = {t.id: t for t in conf.targets}
-        self.flows: dict[bytes, Flow] = {}
+        self.connections: dict[bytes, QuicConnection] = {}
         self._open = 0
         self.dropped: Counter[str] = Counter()
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
@@ -48,20 +48,20 @@
                         await self._route(nursery, data, client)
                     except PacketError:
                         self.count("malformed")
-                    except Exception as error:  # guards the front: a datagram ends itself only
+                    except Exception as error:  # guards the frontend: a datagram ends itself only
                         log.exception("quic-error error=%r", error)
 
     async def _route(self, nursery: trio.Nursery, data: bytes, client: Address) -> None:
         packet = parse(data, self.form.length)
-        if flow := self.flows.get(packet.dcid):
-            await flow.receive(packet, data, client)
+        if connection := self.connections.get(packet.dcid):
+            await connection.receive(packet, data, client)
         elif self._open >= self._conf.connections:
             self.count("table-full")
         elif target := self._by_id.get(self.form.server(packet.dcid) or b""):
-            ticket = self.core.adopt(target.server, self._conf.cls, tenant=self._conf.tenant)
-            flow = Flow(self, ticket, client)
-            flow.learn(packet.dcid)
-            self._start(nursery, flow.carry_on, target, packet, data)
+            handle = self.engine.adopt(target.server, self._conf.request_class, tenant=self._conf.tenant)
+            connection = QuicConnection(self, handle, client)
+            connection.learn(packet.dcid)
+            self._start(nursery, connection.carry_on, target, packet, data)
         elif packet.kind is Kind.OTHER and packet.version and len(data) >= INITIAL_LEAST:
             await self.send(version_negotiation(packet), client)
         elif packet.kind is Kind.INITIAL:
@@ -72,11 +72,12 @@
     async def _new(self, nursery: trio.Nursery, packet: Packet, data: bytes, client: Address) -> None:
         if len(data) < INITIAL_LEAST or len(packet.dcid) < FIRST_ID_LEAST:
             raise PacketError("too short for a first Initial")
-        deadline = self.core.now() + self._conf.patience
-        flow = Flow(self, self.core.submit(self._conf.cls, deadline, tenant=self._conf.tenant), client)
-        flow.learn(packet.dcid)
-        await flow.receive(packet, data, client)
-        self._start(nursery, flow.live)
+        deadline = self.engine.now() + self._conf.patience_ms
+        handle = self.engine.submit(self._conf.request_class, deadline, tenant=self._conf.tenant)
+        connection = QuicConnection(self, handle, client)
+        connection.learn(packet.dcid)
+        await connection.receive(packet, data, client)
+        self._start(nursery, connection.live)
 
     def _start(self, nursery: trio.Nursery, life: Callable[..., Awaitable[None]], *args: object) -> None:
         self._open += 1  # at once: many datagrams may be read before the first task runs
--- a/walkloom/frontends/quic/settings.py
+++ b/walkloom/frontends/quic/settings.py
@@ -1,4 +1,4 @@
-"""The operator's file of this front: where it listens, the form of the ids, and the servers behind them."""
+"""The operator's file of this frontend: where it listens, the form of the ids, the servers behind them."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from walkloom.config import ConfigError, Names, address
+from walkloom.config import ConfigError, SettingNames, address
 from walkloom.frontends.quic.ids import IdForm
 
 
@@ -23,15 +23,15 @@
 class QuicConfig:
     listen: tuple[str, int]
     form: IdForm
-    cls: int
+    request_class: int
     tenant: int
-    patience: float  # ms for set-up
+    patience_ms: float  # ms for set-up
     connections: int  # most at one time; each holds a descriptor
     targets: tuple[Target, ...]
 
 
-def load(path: Path, names: Names) -> QuicConfig | None:
-    """None where the file is not there: the front is off."""
+def load(path: Path, names: SettingNames) -> QuicConfig | None:
+    """None where the file is not there: the frontend is off."""
     if not path.exists():
         return None
     try:
--- a/walkloom/lab/demo.py
+++ b/walkloom/lab/demo.py
@@ -132,7 +132,7 @@
             load = 0.0 if state == "crashed" else tile.load
             rows.append(Row(name, state, len(tile.standing), load, tile.setups))
         balancers = tuple(
-            (name, balancer.instance.core.open_requests)
+            (name, balancer.server.engine.open_requests)
             for name, balancer in fleet.balancers.items()
             if isinstance(balancer, InProcess)
         )
--- a/walkloom/lab/fleet.py
+++ b/walkloom/lab/fleet.py
@@ -26,7 +26,7 @@
 from walkloom.lab.ledger import Ledger
 from walkloom.lab.settings import configuration, settings
 from walkloom.lab.tile import TileServer
-from walkloom.server import Instance
+from walkloom.server import BalancerServer
 
 START_S = 20.0  # a process that answers no PING by then has not started
 
@@ -39,16 +39,16 @@
 class InProcess:
     """A balancer on this loop."""
 
-    instance: Instance
+    server: BalancerServer
     scope: trio.CancelScope
 
     @property
     def address(self) -> str:
-        return "{}:{}".format(*self.instance.address)
+        return "{}:{}".format(*self.server.address)
 
     async def stop(self) -> None:
         """A planned stop, as at SIGTERM."""
-        await self.instance.leave()
+        await self.server.shut_down()
         self.scope.cancel()
 
     def kill(self) -> None:
@@ -140,12 +140,12 @@
         conf = config.parse(self._configuration(name, listen, **changes), name)
         scope = trio.CancelScope()
 
-        async def run(task_status: trio.TaskStatus[Instance]) -> None:
+        async def run(task_status: trio.TaskStatus[BalancerServer]) -> None:
             with scope:
-                await Instance.serve(conf, None, task_status)
+                await BalancerServer.serve(conf, None, task_status)
 
-        instance: Instance = await self.nursery.start(run)
-        made = self.balancers[name] = InProcess(instance, scope)
+        server: BalancerServer = await self.nursery.start(run)
+        made = self.balancers[name] = InProcess(server, scope)
         return made
 
     async def process(
--- a/walkloom/lab/load.py
+++ b/walkloom/lab/load.py
@@ -22,7 +22,7 @@
 
 from walkloom.client.seen import Histogram
 from walkloom.lab.settings import CLASSES, TENANTS, LabClass
-from walkloom.transport.line_stream import LineError, Lines
+from walkloom.transport.line_stream import LineError, LineStream
 
 LATE_MS = 10.0  # a tool that begins one arrival in a hundred later than this is too slow for its load
 BUSY_PART = 0.9  # of a core, by one of its processes: the same
@@ -208,13 +208,13 @@
     """One connection; `due` is when it was to begin, from which its time runs."""
     rng = Random(seed)
     cls = rng.choices(load.classes, [c.share for c in load.classes])[0]
-    lines: Lines | None = None
+    lines: LineStream | None = None
     try:
         answer = b""
         with trio.move_on_at(due + cls.give_up_ms / 1000.0) as scope:
             host, _, port = rng.choice(load.addresses).rpartition(":")
             try:
-                lines = Lines(await trio.open_tcp_stream(host, int(port)))
+                lines = LineStream(await trio.open_tcp_stream(host, int(port)))
             except OSError:
                 report.unconnected += 1
                 return
@@ -222,7 +222,7 @@
             about = f"c={cls.name},t={rng.choice(load.tenants)},d={max(left, 1.0):.0f}"
             group = rng.randrange(load.groups) + 1
             await lines.send(f"OPEN {seed:016x} {seed:016x} {about},g={group:x}\r\n".encode())
-            answer = await lines.line()
+            answer = await lines.read_line()
         if scope.cancelled_caught:
             report.timed_out += 1
         elif answer.startswith(b"UP"):
@@ -245,7 +245,7 @@
         limit.release_on_behalf_of(token)
 
 
-async def _stand(load: Load, report: Report, lines: Lines, until: float, rng: Random) -> None:
+async def _stand(load: Load, report: Report, lines: LineStream, until: float, rng: Random) -> None:
     """Sends its lines at their times until its life is over or the other side ends it."""
     waiting: list[float] = []
     word = b""
@@ -253,7 +253,7 @@
     async def read() -> None:
         nonlocal word
         with suppress(trio.BrokenResourceError, LineError):
-            while data := await lines.whole():
+            while data := await lines.read_complete_lines():
                 now = trio.current_time()
                 for line in data.splitlines():
                     word = line.split(b" ", 1)[0]
--- a/walkloom/lab/sim.py
+++ b/walkloom/lab/sim.py
@@ -3,7 +3,7 @@
 
 It answers what a change does at sizes that no loopback can hold. Every balancer is a
 `walkloom.policy.balancer.Balancer`
-that gets the events which `Core` would tell it; network, servers, registry and clients are models. All
+that gets the events which `Engine` would tell it; network, servers, registry and clients are models. All
 that is
 drawn comes from numpy generators made from the seed, so a run is the same to the byte. The rules are
 checked on
--- a/walkloom/lab/tile.py
+++ b/walkloom/lab/tile.py
@@ -16,7 +16,7 @@
 import trio
 
 from walkloom.lab.ledger import Attempt, Ledger
-from walkloom.transport.line_stream import LineError, Lines
+from walkloom.transport.line_stream import LineError, LineStream
 
 _OPEN = re.compile(rb"OPEN ([0-9a-f]+) [0-9a-f]+ ([!-~]+)\r\n")
 
@@ -38,7 +38,7 @@
 
     id: str
     values: dict[str, str]
-    lines: Lines
+    lines: LineStream
 
 
 class TileServer:
@@ -141,16 +141,16 @@
         try:
             with trio.move_on_after(1.0):
                 await each.lines.send(word)
-                await each.lines.finish()
+                await each.lines.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):  # it left by itself
             return
 
     # A connection's life
 
     async def _live(self, stream: trio.SocketStream) -> None:
-        lines = Lines(stream)
+        lines = LineStream(stream)
         try:
-            while line := await lines.line():
+            while line := await lines.read_line():
                 word = line.strip()
                 if word == b"PING":
                     await lines.send(b"PONG\r\n")
@@ -172,7 +172,7 @@
         while self._recent and self._recent[0] <= self._now() - 1000.0:
             self._recent.popleft()
 
-    async def _opened(self, lines: Lines, line: bytes) -> None:
+    async def _opened(self, lines: LineStream, line: bytes) -> None:
         match = _OPEN.fullmatch(line)
         if not match:
             self._ledger.fault(f"{self.name} was sent {line[:80]!r}")
@@ -189,7 +189,7 @@
         finally:
             self._ledger.ended(attempt, "left", self._now())
 
-    async def _placed(self, lines: Lines, attempt: Attempt, values: dict[str, str]) -> bool:
+    async def _placed(self, lines: LineStream, attempt: Attempt, values: dict[str, str]) -> bool:
         """Whether the connection came up; else it has its answer."""
         if self.trouble is not Trouble.NONE and self._rng.random() < self.share:
             return await self._troubled(lines, attempt)
@@ -205,7 +205,7 @@
             return await self._answer(lines, attempt, b"BUSY")
         return True
 
-    async def _troubled(self, lines: Lines, attempt: Attempt) -> bool:
+    async def _troubled(self, lines: LineStream, attempt: Attempt) -> bool:
         match self.trouble:
             case Trouble.FULL:
                 return await self._answer(lines, attempt, b"BUSY")
@@ -221,13 +221,13 @@
                     await lines.send(b"U")
         return False
 
-    async def _answer(self, lines: Lines, attempt: Attempt, word: bytes) -> bool:
+    async def _answer(self, lines: LineStream, attempt: Attempt, word: bytes) -> bool:
         self._ledger.ended(attempt, word.decode(), self._now())
         await lines.send(word + b"\r\n")
-        await lines.finish()
+        await lines.send_eof()
         return False
 
-    async def _stand(self, lines: Lines, each: Standing, attempt: Attempt) -> None:
+    async def _stand(self, lines: LineStream, each: Standing, attempt: Attempt) -> None:
         # the attempt ends with its answer: from now on the connection stands
         self._ledger.ended(attempt, "UP", self._now())
         self.setups += 1
@@ -236,17 +236,17 @@
         self.standing[each.id] = each
         try:
             await lines.send(b"UP %d\r\n" % self.setups)
-            while data := await lines.whole():
+            while data := await lines.read_complete_lines():
                 await lines.send(data)
         finally:
             if self.standing.get(each.id) is each:
                 del self.standing[each.id]
 
 
-async def _while_there(lines: Lines, ms: float) -> bool:
+async def _while_there(lines: LineStream, ms: float) -> bool:
     """Waits so long; False at once where the other side leaves meanwhile."""
     with trio.move_on_after(max(ms, 0.0) / 1000.0):
-        while await lines.stirs():
+        while await lines.wait_for_input():
             pass
         return False
     return True
--- a/walkloom/load_reports/poller.py
+++ b/walkloom/load_reports/poller.py
@@ -1,4 +1,4 @@
-"""Beside the RPCs: asks subchannels for their load when the module wants it, over one connection each."""
+"""Beside the RPCs: asks servers for their load when the policy wants it, over one connection each."""
 
 from __future__ import annotations
 
@@ -7,12 +7,11 @@
 
 import trio
 
-from walkloom.discovery.watcher import Resolver
-from walkloom.engine.engine import Core
-from walkloom.frontends.line.upstream import dial, verb
+from walkloom.discovery.watcher import EndpointWatcher
+from walkloom.engine.engine import Engine
 from walkloom.messages import EndpointId
-from walkloom.transport.line_stream import Lines
-from walkloom.transport.rate_limited_log import Tally
+from walkloom.transport.line_stream import LineStream, first_word, open_line_stream
+from walkloom.transport.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("walkloom")
 ANSWER_S = 0.5
@@ -20,15 +19,15 @@
 IDLE_S = 10.0  # a connection that no probe has used for so long is closed
 
 
-class Prober:
-    def __init__(self, core: Core, resolver: Resolver, fields: tuple[str, ...], most: int) -> None:
-        self._core, self._resolver, self._fields, self._most = core, resolver, fields, most
-        self._skipped = Tally("probe-skipped")
+class LoadReportPoller:
+    def __init__(self, engine: Engine, watcher: EndpointWatcher, fields: tuple[str, ...], most: int) -> None:
+        self._engine, self._watcher, self._fields, self._most = engine, watcher, fields, most
+        self._skipped = RateLimitedLog("probe-skipped")
         self._open: dict[EndpointId, trio.MemorySendChannel[None]] = {}
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
-            async for server in self._core.to_probe:
+            async for server in self._engine.load_report_requests:
                 if server not in self._open:
                     if len(self._open) >= self._most:  # guards the descriptors in a large fleet
                         self._skipped.count(f"{server}: {self._most} probed")
@@ -42,12 +41,12 @@
 
     async def _stand(self, server: EndpointId, asked: trio.MemoryReceiveChannel[None]) -> None:
         """One server's probes, one at a time, until they fail or stop coming."""
-        line: Lines | None = None
+        line: LineStream | None = None
         dialed: tuple[str, int] | None = None
         try:
             while await _question(asked):
                 with trio.fail_after(ANSWER_S):
-                    address = self._resolver.address(server)
+                    address = self._watcher.address(server)
                     if line and address == dialed:
                         with suppress(trio.BrokenResourceError):
                             await self._ask(server, line)
@@ -55,7 +54,7 @@
                     # guards against a server that closes what rests, in this moment too, or has moved
                     if line:
                         await line.close()
-                    line, dialed = await dial(address) if address else None, address
+                    line, dialed = await open_line_stream(address) if address else None, address
                     if line is None:
                         return
                     await self._ask(server, line)
@@ -67,17 +66,18 @@
                 with trio.CancelScope(shield=True):
                     await line.close()
 
-    async def _ask(self, server: EndpointId, line: Lines) -> None:
-        start = self._core.now()
+    async def _ask(self, server: EndpointId, line: LineStream) -> None:
+        start = self._engine.now()
         await line.send(b"STATS\r\n")
-        answer = await line.line()
+        answer = await line.read_line()
         if not answer:
             raise trio.BrokenResourceError("ended")
-        if verb(answer) == b"ERR":  # not now: guards the server against a new connection for each such answer
+        # not now: guards the server against a new connection for each such answer
+        if first_word(answer) == b"ERR":
             return
-        if verb(answer) != b"PONG":
+        if first_word(answer) != b"PONG":
             raise ValueError(answer)
-        self._core.probed(server, self._core.now() - start, decode(answer, self._fields))
+        self._engine.load_report_received(server, self._engine.now() - start, decode(answer, self._fields))
 
 
 async def _question(asked: trio.MemoryReceiveChannel[None]) -> bool:
--- a/walkloom/simulator/codec.py
+++ b/walkloom/simulator/codec.py
@@ -366,19 +366,23 @@
     return _REPLY.pack(4 + len(body), len(records)) + body
 
 
-def lines_of(text: str) -> dict[str, str]:
+def parse_settings_lines(text: str) -> dict[str, str]:
     """The simulator's form of the settings: path=value lines."""
     return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
 
 
-def paths_of(value: object, path: str = "") -> dict[str, str]:
+def flatten_settings(value: object, path: str = "") -> dict[str, str]:
     """The nested form of the settings under the paths of the simulator's; null is as good as absent."""
     if value is None:
         return {}
     if isinstance(value, dict):
-        return {k: v for key, x in value.items() for k, v in paths_of(x, f"{path}.{key}".lstrip(".")).items()}
+        return {
+            k: v
+            for key, x in value.items()
+            for k, v in flatten_settings(x, f"{path}.{key}".lstrip(".")).items()
+        }
     if isinstance(value, list) and any(isinstance(x, dict) for x in value):
-        inner = {k: v for i, x in enumerate(value) for k, v in paths_of(x, f"{path}.{i}").items()}
+        inner = {k: v for i, x in enumerate(value) for k, v in flatten_settings(x, f"{path}.{i}").items()}
         return {f"{path}.count": str(len(value)), **inner}
     if isinstance(value, list):
         return {path: ",".join(_plain(x) for x in value)}
@@ -389,7 +393,7 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
-class Profile:
+class SettingsReader:
     """The settings by their paths; unknown keys are never looked at."""
 
     def __init__(self, values: dict[str, str]) -> None:
@@ -437,10 +441,10 @@
 
     def figures(self, key: str) -> tuple[float, ...]:
         """A list of numbers."""
-        return tuple(Profile({key: text}).number(key) for text in self.listed(key))
+        return tuple(SettingsReader({key: text}).number(key) for text in self.listed(key))
 
 
-def settings(p: Profile) -> Settings:
+def settings(p: SettingsReader) -> Settings:
     """Settings as the decision module takes them."""
     aims = p.figures("family-info.message-aim")
     classes = []
--- a/walkloom/simulator/host.py
+++ b/walkloom/simulator/host.py
@@ -28,7 +28,7 @@
         for inst, event in events:
             try:
                 if isinstance(event, codec.Attach):
-                    profile = codec.Profile(codec.lines_of(event.profile))
+                    profile = codec.SettingsReader(codec.parse_settings_lines(event.profile))
                     instances[inst] = Balancer(codec.settings(profile), event.seed)
                 elif isinstance(event, codec.Halt):
                     instances.pop(inst, None)
--- a/walkloom/transport/line_stream.py
+++ b/walkloom/transport/line_stream.py
@@ -1,4 +1,4 @@
-"""Lines over one TCP stream, of a channel (client) or a subchannel (tile server)."""
+"""Lines over one TCP stream, of a client connection or an upstream connection (tile server)."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     """A line longer than the protocol allows."""
 
 
-class Lines:
+class LineStream:
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._buffer = bytearray()
@@ -33,7 +33,7 @@
         self._buffer += data
         return not self.ended
 
-    async def line(self) -> bytes:
+    async def read_line(self) -> bytes:
         """The next line with its end; empty once the stream has ended."""
         while (end := self._buffer.find(b"\n") + 1) == 0:
             self._check(len(self._buffer))
@@ -44,7 +44,7 @@
         del self._buffer[:end]
         return line
 
-    async def whole(self) -> bytes:
+    async def read_complete_lines(self) -> bytes:
         """All whole lines that have come; at the end of the stream the rest, then nothing."""
         while (end := self._buffer.rfind(b"\n") + 1) == 0:
             self._check(len(self._buffer))
@@ -60,11 +60,11 @@
             raise LineError(f"a line of over {LONGEST} bytes")
 
     @property
-    def pending(self) -> bool:
-        """Whether something has come that no line() or whole() has returned."""
+    def has_buffered_input(self) -> bool:
+        """Whether something has come that no read has returned."""
         return bool(self._buffer)
 
-    async def stirs(self) -> bool:
+    async def wait_for_input(self) -> bool:
         """Waits until the other side sends something more, or ends: False."""
         with suppress(trio.BrokenResourceError):
             return await self._more()
@@ -82,7 +82,7 @@
                 closed = self._stream.socket.fileno() < 0  # by another task of ours
                 raise (trio.ClosedResourceError if closed else trio.BrokenResourceError)(str(error)) from None
 
-    async def finish(self) -> None:
+    async def send_eof(self) -> None:
         """Passes on a FIN."""
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await self._stream.send_eof()
@@ -92,7 +92,7 @@
         reset that closing with unread bytes would cause."""
         left = DRAIN_MOST
         with trio.move_on_after(LINGER_S), suppress(OSError, trio.ClosedResourceError):
-            await self.finish()
+            await self.send_eof()
             while left > 0 and (got := await self._stream.socket.recv_into(_VOID, 0, socket.MSG_TRUNC)):
                 left -= got
         await self.close()
@@ -111,3 +111,21 @@
         with suppress(OSError):
             self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         await self.close()
+
+
+async def open_line_stream(address: tuple[str, int]) -> LineStream | None:
+    """None if nothing accepts there; OSError if we have no descriptor left."""
+    sock = trio.socket.socket()
+    try:
+        await sock.connect(address)
+    except OSError:
+        sock.close()
+        return None
+    except BaseException:
+        sock.close()
+        raise
+    return LineStream(trio.SocketStream(sock))
+
+
+def first_word(line: bytes) -> bytes:
+    return line.split(None, 1)[0] if line.strip() else b""
--- a/walkloom/transport/rate_limited_log.py
+++ b/walkloom/transport/rate_limited_log.py
@@ -11,7 +11,7 @@
 PAUSE_S = 1.0
 
 
-class Tally:
+class RateLimitedLog:
     def __init__(self, event: str) -> None:
         self._event, self._count, self._told_at = event, 0, -math.inf
 
