--- a/tests/characterisation/client_core_adapter.py
+++ b/tests/characterisation/client_core_adapter.py
@@ -163,6 +163,10 @@
         """The number of the session's newest connection."""
         return self._sessions[number].conn
 
+    def try_ends(self, number: int) -> float:
+        """When the session's newest try is given up."""
+        return self._sessions[number].try_until
+
     def is_over(self, number: int) -> bool:
         """Whether the session has ended."""
         return self._sessions[number].state is State.OVER
--- a/tests/characterisation/test_client_core.py
+++ b/tests/characterisation/test_client_core.py
@@ -38,8 +38,9 @@
     weather: until when (ms) which answers are drawn, with their weights.
     drains: when all that stand at a balancer are moved.
     dead: balancers that nobody reaches, from when to when.
-    late: polls come up to so many ms late, as with a real timer; a poll at the exact time at which the silence
-    of a line ends may spin without end, where the difference of the two times is rounded down.
+    impatient: share of the callers that close their session within 800 ms.
+    late: polls come up to so many ms late, as with a real timer; a poll at the exact time at which the
+    silence of a line ends may spin without end, where the difference of the two times is rounded down.
     """
 
     seed: int
@@ -51,6 +52,7 @@
     life: float = 6_000.0
     lines: float = 4_000.0
     late: float = 0.5
+    impatient: float = 0.04
     drains: tuple[tuple[float, int], ...] = ()
     dead: tuple[tuple[int, float, float], ...] = ()
     bounds: dict[str, Any] = field(default_factory=dict)
@@ -151,7 +153,7 @@
         result = self.client.open(self.now, cls, returns, (tenant, group, key, load))
         self.note("open", cls, result)
         if isinstance(result, int):
-            if self.rng.random() < 0.04:
+            if self.rng.random() < self.scene.impatient:
                 self.after(self.rng.random() * 800.0, self.close, result)
             self.after(self.rng.expovariate(1.0 / self.scene.lines), self.send, result)
 
@@ -192,6 +194,8 @@
         answer = self.drawn(balancer)
         self.answers[number, connection] = answer
         wait = self.rng.expovariate(1.0 / 8.0)
+        if answer == "last moment":
+            wait = self.client.try_ends(number) - self.now - self.rng.uniform(0.0, 2.0)
         if answer == "unreached":
             self.after(wait, self.unreach, number, connection)
         elif answer != "unmade":
@@ -313,6 +317,16 @@
         7, 12, ALL, STORM, per_s=20.0, late=2.0, drains=((5_000.0, 3), (14_000.0, 4)),
         bounds={"asking": 12, "share": 0.3, "patience": 9_000.0},
     ),
+    "few balancers, one dead for long": Scene(
+        9, 3, ALL, ((NEVER, FAIR),), per_s=3.0, length=60_000.0, dead=((1, 2_000.0, 59_000.0),)
+    ),
+    "few balancers, impatient callers": Scene(
+        10, 2, ALL, ((NEVER, LOST),), impatient=0.7,
+        bounds={"reserve": 6, "pause": 400.0, "longest pause": 900.0, "reach": 60.0},
+    ),
+    "few balancers, reached at the last moment": Scene(
+        11, 3, ALL, ((NEVER, {"up": 60.0, "last moment": 40.0}),), per_s=8.0, bounds={"reach": 5_000.0}
+    ),
     "many balancers, busy": Scene(8, 12, ALL, ((NEVER, BUSY),), bounds={"reserve": 50}),
 }  # fmt: skip
 
