--- a/tests/characterisation/policy_adapter.py
+++ b/tests/characterisation/policy_adapter.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from walkloom.balancer import Balancer
 from walkloom.messages import (
     Action,
     AttemptEnded,
@@ -40,7 +41,6 @@
     UpdateKind,
     WatchEndpointList,
 )
-from walkloom.policy import Balancer
 
 Record = tuple[Any, ...]
 
@@ -232,7 +232,7 @@
         case MigrateConnection():
             return ("migrate", action.request_id)
         case StartTimer():
-            return ("timer", action.fires_at, action.token)
+            return ("timer", action.fires_at, int(action.token))
         case PollLoadReport():
             return ("poll", action.endpoint_id)
         case WatchEndpointList():
--- a/tests/characterisation/policy_check.py
+++ b/tests/characterisation/policy_check.py
@@ -91,10 +91,11 @@
 
 def planted_changes() -> Iterator[Change]:
     """The planted changes of rules; ValueError where a text does not stand in the policy exactly once."""
+    files = [*policy_files(), *sorted((ROOT / "walkloom" / "state").glob("*.py"))]
     for name, (old, new) in PLANTS.items():
-        holders = [file for file in policy_files() if file.read_text().count(old) == 1]
+        holders = [file for file in files if file.read_text().count(old) == 1]
         if len(holders) != 1:
-            raise ValueError(f"{name}: its text stands in {len(holders)} files of the policy")
+            raise ValueError(f"{name}: its text stands in {len(holders)} files of policy and state")
         yield Change(name, "planted", holders[0], old, holders[0].read_text().replace(old, new))
 
 
--- a/tests/characterisation/policy_plants.py
+++ b/tests/characterisation/policy_plants.py
@@ -2,70 +2,72 @@
 
 from __future__ import annotations
 
-NOT_TUNED = ("T_HOLD", "T_WATCH", "T_LEAVE", "T_ASK")  # tokens that tell timers apart
+NOT_TUNED = ("MIN_WANTED",)  # keeps a division defined
 
 PLANTS = {
-    "greater of two draws": ("return min(part, key=self._fill)", "return max(part, key=self._fill)"),
+    "greater of two draws": (
+        "return min(drawn, key=lambda endpoint: _relative_load(state, endpoint))",
+        "return max(drawn, key=lambda endpoint: _relative_load(state, endpoint))",
+    ),
     "draining servers are no fallback": (
-        "[s for s in usable if s.told < 0] or [s for s in usable if self._in_grace(s)]",
-        "[s for s in usable if s.told < 0]",
+        "return Tier.split(ready or draining, state.settings.local_zone)",
+        "return Tier.split(ready, state.settings.local_zone)",
     ),
     "retry after the deduplication window": (
-        "in_window = self.now + 2 * self.set.tick_ms < r.ran_at + cls.deduplication_window_ms",
-        "in_window = True",
+        "is_in_window = state.now + 2 * state.settings.tick_ms < window_ends_at",
+        "is_in_window = True",
     ),
     "retry of an unsafe request": (
-        "r.ran_at < 0 or cls.idempotency is Idempotency.IDEMPOTENT or",
-        "r.ran_at < 0 or not keyed or",
+        "return request_class.idempotency is Idempotency.WITH_KEY and is_in_window",
+        "return is_in_window or request_class.idempotency is Idempotency.NOT_IDEMPOTENT",
     ),
     "deduplication scope not observed": (
-        "r.ran_on = s if keyed and cls.deduplication_scope is not DeduplicationScope.ALL else None",
-        "r.ran_on = None",
+        "request.may_have_run_on = endpoint if request.request_class.is_deduplicated_locally else None",
+        "request.may_have_run_on = None",
     ),
     "drain grace without the slack of two rounds": (
-        "s.told > self.now - self.set.drain_grace_ms + 2 * self.set.tick_ms",
-        "s.told > self.now - self.set.drain_grace_ms",
+        "state.now - state.settings.drain_grace_ms + 2 * state.settings.tick_ms",
+        "state.now - state.settings.drain_grace_ms",
     ),
     "one attempt more than allowed": (
-        "r.attempts >= self.most or not self._may_repeat(r)",
-        "r.attempts > self.most or not self._may_repeat(r)",
+        "request.attempts >= state.max_attempts or not may_retry(state, request)",
+        "request.attempts > state.max_attempts or not may_retry(state, request)",
     ),
     "cold servers have no budget": (
-        "s.looked, s.quota = self.now, int(most + self.rng.random())",
-        "s.looked, s.quota = self.now, 1000",
+        "endpoint.cold_budget = int(_budget(state, endpoint, elapsed_ms) + state.random.random())",
+        "endpoint.cold_budget = 1000",
     ),
     "at capacity counts as a failure": (
-        "        if status in FAILURES:\n",
-        "        if status in FAILURES or status is AttemptStatus.AT_CAPACITY:\n",
+        "is_failure = event.status in outlier_detection.FAILURES",
+        "is_failure = event.status in (*outlier_detection.FAILURES, AttemptStatus.AT_CAPACITY)",
     ),
     "trials of requests that are not idempotent": (
-        "if not self.outs or r.attempts or r.request_class.idempotency is not Idempotency.IDEMPOTENT:",
-        "if not self.outs or r.attempts:",
+        "if request.attempts or request.request_class.idempotency is not Idempotency.IDEMPOTENT:",
+        "if request.attempts:",
     ),
-    "own zone not preferred": (
-        "for pool in (home, far):  # servers whose",
-        "for pool in (far, home):  # servers whose",
+    "own zone not preferred": ("    for pool in tier:\n", "    for pool in tier[::-1]:\n"),
+    "a retry may go to the same server": ("again = len(request.tried) >= tier.size", "again = True"),
+    "overloaded endpoints are not paused": (
+        "    endpoint.paused_until = state.now + slow_start.SLOW_MESSAGE_MS\n",
+        "",
     ),
-    "a retry may go to the same server": (
-        "return part[0], [s for s in part if s.id not in tried and self._room(s)]",
-        "return part[0], [s for s in part if self._room(s)]",
+    "restarted servers keep their past": ("            endpoint.forget_process(now)\n", "            pass\n"),
+    "rejected where a failure is owed": (
+        "if request.may_have_run_at < 0 or request.request_class.is_repeatable_anywhere:",
+        "if True:",
     ),
-    "restarted servers keep their past": ("            s.renew(self.now)\n", "            pass\n"),
-    "rejected where a failure is owed": ("refuse if harmless or r.ran_at < 0 else Fail(r.req.id)", "refuse"),
     "held requests lie past their deadline": (
-        "if tries or self.now + HOLD_MS + 2 * self.set.tick_ms >= r.req.deadline:",
+        "if tries or next_try_at >= request.request.deadline:",
         "if tries:",
     ),
     "silent servers are not passed over": (
-        "return [s for s in room if self.now - s.told_at <= NEW_MS + ASK_MS] or room",
-        "return room",
-    ),
-    "groups have no homes": (
-        "part = pool.homes(crc32(repr(r.req.affinity_group).encode()), RING)",
-        "part = pool.servers",
+        "return [item for item in endpoints if state.now - item.reported_at <= max_age_ms] or endpoints",
+        "return endpoints",
     ),
+    "groups have no homes": ("        chosen = _group_endpoints(state, request, pool)\n", ""),
     "requests that wait are not ended at shutdown": (
-        "        for r in [*self.held.values(), *self.asking.values()]:\n            self._end(r)",
+        "    for request in [*state.requests.held.values(), *state.requests.polling.values()]:\n"
+        "        answer(state, request)\n",
         "",
     ),
 }
--- a/tests/characterisation/quic_adapter.py
+++ b/tests/characterisation/quic_adapter.py
@@ -8,13 +8,13 @@
 import trio
 
 from tests.helpers import settings
-from walkloom import interface as f
-from walkloom.core import Core
-from walkloom.quic import initial
-from walkloom.quic.front import QuicFront
-from walkloom.quic.ids import IdForm
-from walkloom.quic.packet import Kind, PacketError, parse, varint, version_negotiation
-from walkloom.quic.settings import QuicConfig, Target
+from walkloom.engine.engine import Engine
+from walkloom.frontends.quic import initial
+from walkloom.frontends.quic.frontend import QuicFrontend
+from walkloom.frontends.quic.ids import IdForm
+from walkloom.frontends.quic.packet import Kind, PacketError, parse, varint, version_negotiation
+from walkloom.frontends.quic.settings import QuicConfig, Target
+from walkloom.messages import Endpoint, Lifecycle, UpdateKind
 
 KINDS = {
     Kind.INITIAL: "initial",
@@ -26,7 +26,7 @@
 }
 SIDES = {"client": initial.CLIENT, "server": initial.SERVER}
 DROPS = {"malformed": "broken", "unroutable": "stray", "table-full": "full", "moves-untold": "untold"}
-LISTED = {"up": f.State.READY, "draining": f.State.DRAINING, "gone": f.State.GONE}
+LISTED = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "gone": Lifecycle.REMOVED}
 Outcome = tuple[object, ...]
 
 
@@ -97,7 +97,7 @@
 
 
 class Front:
-    """The front over a core of its own; made inside a trio run, whose sockets are the test's."""
+    """The front over an engine of its own; made inside a trio run, whose sockets are the test's."""
 
     def __init__(
         self,
@@ -107,29 +107,31 @@
         connections: int,
     ) -> None:
         with patch("time.time", lambda: 1.7e9):
-            self._core = Core(settings(max_attempts=2, max_retry_after=1500.0, drain_grace=500.0), 1)
+            self._engine = Engine(
+                settings(max_attempts=2, max_retry_after_ms=1500.0, drain_grace_ms=500.0), 1
+            )
         self._servers = tuple(servers)
         targets = tuple(Target(name, cid, address) for name, (cid, address) in servers.items())
-        self._front = QuicFront(
-            self._core, QuicConfig(listen, IdForm(*form), 0, 0, 2000.0, connections, targets)
+        self._frontend = QuicFrontend(
+            self._engine, QuicConfig(listen, IdForm(*form), 0, 0, 2000.0, connections, targets)
         )
 
     async def begin(self, nursery: trio.Nursery) -> None:
-        """Starts the core's and the front's tasks."""
-        nursery.start_soon(self._core.keep_time)
-        nursery.start_soon(self._core.keep_pulse)
-        await nursery.start(self._front.run)
+        """Starts the engine's and the frontend's tasks."""
+        nursery.start_soon(self._engine.run_timers)
+        nursery.start_soon(self._engine.run_latency_monitor)
+        await nursery.start(self._frontend.run)
 
     def listed(self, word: str) -> None:
         """Every server is listed so."""
-        lines = tuple(f.Server(name, state=LISTED[word]) for name in self._servers)
-        self._core.list_came(f.ListKind.FULL, lines)
+        lines = tuple(Endpoint(name, lifecycle=LISTED[word]) for name in self._servers)
+        self._engine.endpoint_list_received(UpdateKind.SNAPSHOT, lines)
 
     async def leave(self) -> None:
         """The balancer begins to stop."""
-        await self._core.leave(0.5, 1.5)
+        await self._engine.migrate_connections(0.5, 1.5)
 
     def left_behind(self) -> Outcome:
         """What was dropped, the ids that are known, and how many requests are open."""
-        dropped = sorted((DROPS[word], count) for word, count in self._front.dropped.items())
-        return (*dropped, *sorted(self._front.flows), self._core.open_requests)
+        dropped = sorted((DROPS[word], count) for word, count in self._frontend.dropped.items())
+        return (*dropped, *sorted(self._frontend.connections), self._engine.open_requests)
--- a/tests/engine/test_load_signal.py
+++ b/tests/engine/test_load_signal.py
@@ -53,7 +53,7 @@
         kind, value = notes.classify("a", 500.0, rig.at(1000.0).now)
         rig.give(ConnectionSignal(request_id=ids[turn], attempt=0, endpoint_id="a", kind=kind, value=value))
         assert bool(rig.got(MigrateConnection)) is moved
-        assert rig.now - rig.balancer.servers["a"].slow_at < 1.0
+        assert rig.now - rig.balancer.state.endpoints.by_id["a"].slow_message_at < 1.0
 
 
 def test_the_engine_tells_the_policy_which_is_which(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -20,6 +20,7 @@
 from walkloom.frontends.line.request_line import RequestLineError, decode
 from walkloom.load_reports.poller import decode as decode_report
 from walkloom.messages import Lifecycle, StartAttempt
+from walkloom.policy import dispatch, outlier_detection
 from walkloom.transport.descriptor_limit import DescriptorLimit
 from walkloom.transport.line_stream import LineError, LineStream
 
@@ -99,7 +100,7 @@
         return LinePeer(await trio.open_tcp_stream("127.0.0.1", port))
 
     async def forgotten(_: str) -> None:
-        assert world.engine.idle and not world.engine._balancer.requests
+        assert world.engine.idle and not world.engine._balancer.state.requests.by_id
 
     world.dial, world.verbs["forgotten"] = dial, forgotten
 
@@ -310,7 +311,7 @@
 
     monkeypatch.setattr("walkloom.frontends.line.upstream.open_line_stream", none_left)
     blamed: list[object] = []
-    monkeypatch.setattr("walkloom.policy.balancer.Balancer._failed", lambda _, server: blamed.append(server))
+    monkeypatch.setattr(outlier_detection, "record_failure", lambda _, endpoint: blamed.append(endpoint))
     scenario.run(f"c send {OPEN}\nwithin 100 c expect BUSY*", build, ("attempt-unsent",) * 3)
     assert not blamed
 
@@ -319,7 +320,7 @@
     def broken(*_: object) -> None:
         raise RuntimeError("module")
 
-    monkeypatch.setattr("walkloom.policy.balancer.Balancer._request", broken)
+    monkeypatch.setattr(dispatch, "place", broken)
     scenario.run(f"c send {OPEN}\nc expect ERR\nc expect EOF", build, ("module-error",))
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TypeVar
 
+from walkloom.balancer import Balancer
 from walkloom.messages import (
     Action,
     AffinityGroup,
@@ -27,7 +28,6 @@
     TimerFired,
     UpdateKind,
 )
-from walkloom.policy import Balancer
 
 A = TypeVar("A")
 SAFE = RequestClass(latency_objective_ms=500.0, message_latency_objective_ms=100.0)
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.helpers import SAFE, Rig, settings
+from walkloom.balancer import Balancer
 from walkloom.messages import (
     Action,
     AttemptEnded,
@@ -37,8 +38,9 @@
     UpdateKind,
     WatchEndpointList,
 )
-from walkloom.policy import Balancer
+from walkloom.policy import slow_start
 from walkloom.simulator import codec
+from walkloom.state import LONG_AGO, BalancerState, EndpointState
 
 A, B, C = Endpoint("a"), Endpoint("b"), Endpoint("c")
 PULL: dict[str, Any] = {
@@ -545,20 +547,20 @@
     assert SAFE.idempotency is Idempotency.IDEMPOTENT
 
 
-def test_a_large_cold_fleet_costs_little_a_request() -> None:
+def test_a_large_cold_fleet_costs_little_a_request(monkeypatch: pytest.MonkeyPatch) -> None:
     """Incident i31f44f: what warm servers carry was counted anew for each cold server at each request."""
     rig = Rig(zone_count=3)
     cold = [Endpoint(n, zone=n % 3, started_at=rig.now) for n in range(150)]
     rig.news(*(Endpoint(n + 1000, zone=n % 3) for n in range(30)), *cold)
     looks = 0
-    plain = rig.balancer._warmth
+    plain = BalancerState.capacity_share
 
-    def counted(server: object) -> float:
+    def counted(state: BalancerState, endpoint: EndpointState) -> float:
         nonlocal looks
         looks += 1
-        return plain(server)  # type: ignore[arg-type]
+        return plain(state, endpoint)
 
-    rig.balancer._warmth = counted  # type: ignore[method-assign,assignment]
+    monkeypatch.setattr(BalancerState, "capacity_share", counted)
     for _ in range(100):
         rig.request()
     assert looks < 100 * 2 * 60  # about one look at each server of the own zone
@@ -573,8 +575,8 @@
         slow(rig.at(1000), rid, 150.0)
     for _ in range(5):
         rig.end(rig.at(9000).request(), AttemptStatus.ERROR)
-    lines = [line.text.split(":")[0] for line in rig.got(LogMessage)]
-    assert lines == ["jammed", "unusable"] and rig.got(LogMessage)[0].endpoint_id == "a"
+    lines = [line.text.split()[0] for line in rig.got(LogMessage)]
+    assert lines == ["server_overloaded", "endpoint_ejected"] and rig.got(LogMessage)[0].endpoint_id == "a"
 
 
 def test_odd_but_legal_lists() -> None:
@@ -674,14 +676,14 @@
 def test_one_request_looks_at_a_bounded_part_of_a_large_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
     """Looking at 300 servers for each request cost 150 us an event (incident i917396)."""
     looked = 0
-    room = Balancer._room
+    has_capacity = slow_start.has_capacity
 
-    def counted(self: Balancer, s: Any) -> bool:
+    def counted(state: BalancerState, endpoint: EndpointState) -> bool:
         nonlocal looked
         looked += 1
-        return room(self, s)
+        return has_capacity(state, endpoint)
 
-    monkeypatch.setattr(Balancer, "_room", counted)
+    monkeypatch.setattr(slow_start, "has_capacity", counted)
     rig = Rig(zone_count=3)
     rig.news(*(Endpoint(n, zone=n % 3) for n in range(900)))
     for n in range(20):
@@ -834,7 +836,7 @@
     rig.at(250.0).give(
         LoadReportReceived(endpoint_id="a", status=AttemptStatus.OK, elapsed_ms=1.0, load_report=(23.0, 0.6))
     )
-    assert not rig.got(MigrateConnection) and rig.balancer.servers["a"].x0 == 0.6
+    assert not rig.got(MigrateConnection) and rig.balancer.state.endpoints.by_id["a"].reported_load == 0.6
 
 
 def test_late_reports_do_not_hide_a_burst() -> None:
@@ -855,10 +857,11 @@
     rig.loads = {"a": 2.0}
     rig.news(A)
     rig.up(rig.request())
-    assert rig.balancer.servers["a"].x0 == 2.0
+    assert rig.balancer.state.endpoints.by_id["a"].reported_load == 2.0
     rig.news(A._replace(started_at=rig.now), B, kind=UpdateKind.INCREMENTAL)
-    server = rig.balancer.servers["a"]
-    assert (server.x0, server.told_at, server.slow_at, server.late_at) == (0.0, 0.0, -1e12, -1e12)
+    endpoint = rig.balancer.state.endpoints.by_id["a"]
+    assert (endpoint.reported_load, endpoint.reported_at) == (0.0, 0.0)
+    assert (endpoint.slow_message_at, endpoint.overloaded_at) == (LONG_AGO, LONG_AGO)
 
 
 def test_clients_leave_a_draining_server_evenly_if_another_can_take_them() -> None:
@@ -888,12 +891,12 @@
     rig = Rig()
     rig.news(Endpoint("a"))
     rig.give(Request("hinted before", 0, rig.now + 3000.0, load=100.0))
-    assert rig.balancer.servers["a"].load == 1.0  # nothing to hold it against yet
+    assert rig.balancer.state.endpoints.by_id["a"].load == 1.0  # nothing to hold it against yet
     first = rig.request()
     rig.up(first)
     rig.give(ConnectionSignal(request_id=first, attempt=0, endpoint_id="a", kind=SignalKind.LOAD, value=50.0))
     rig.give(Request("hinted", 0, rig.now + 3000.0, load=100.0))
-    assert rig.balancer.servers["a"].load == 1.0 + 1.0 + 2.0
+    assert rig.balancer.state.endpoints.by_id["a"].load == 1.0 + 1.0 + 2.0
 
 
 def test_a_cold_server_is_used_by_balancers_that_have_lost_their_own_connections() -> None:
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -1,6 +1,7 @@
 """The limits the users set for the policy."""
 
 import ast
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parents[2]
@@ -22,27 +23,38 @@
     lines = [line for file in POLICY for line in file.read_text().splitlines()]
     assert 100 < sum(1 for line in lines if line.strip()) <= 490
     assert max(map(len, lines)) <= 110
-    first = (ROOT / "walkloom" / "policy" / "balancer.py").read_text().splitlines()[:3]
+    first = (ROOT / "walkloom" / "policy" / "dispatch.py").read_text().splitlines()[:3]
     assert "walkloom/messages/" in "\n".join(first)
 
 
 def test_policy_imports_only_messages_state_and_pure_parts_of_the_library() -> None:
-    allowed = {
-        "__future__.annotations", "collections.abc.Callable", "math.exp", "random.Random", "typing.Any",
-        "zlib.crc32",
-    }  # fmt: skip
     for file in POLICY:
-        assert {name for name in imported(file) if not name.startswith(OWN)} <= allowed
+        assert {name for name in imported(file) if not name.startswith(OWN)} <= {"random.Random"}
 
 
 def test_policy_is_the_deployed_one() -> None:
-    assert 'policy = ["walkloom/policy"]' in (ROOT / "deploy" / "balancer.toml").read_text()
+    deployed = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    assert [ROOT / name for name in deployed] == POLICY
 
 
 def test_state_imports_only_messages_and_pure_parts_of_the_library() -> None:
-    allowed = {"__future__.annotations", "bisect.bisect", "math.log", "zlib.crc32"}
+    allowed = {
+        "__future__.annotations",
+        "bisect.bisect",
+        "collections.abc.Hashable",
+        "collections.abc.Sequence",
+        "dataclasses.dataclass",
+        "dataclasses.field",
+        "enum.IntEnum",
+        "math.exp",
+        "math.log",
+        "random.Random",
+        "typing.NamedTuple",
+        "typing.TypeAlias",
+        "zlib.crc32",
+    }
     files = list((ROOT / "walkloom" / "state").glob("*.py"))
     assert len(files) > 1
     for file in files:
-        own = ("walkloom.messages.", "walkloom.state.")
+        own = ("walkloom.messages", "walkloom.state.")
         assert {name for name in imported(file) if not name.startswith(own)} <= allowed
--- /dev/null
+++ b/tests/state/test_load_estimator.py
@@ -0,0 +1,54 @@
+"""Loads are multiples of the mean of those told: by client, else by class, else one."""
+
+from __future__ import annotations
+
+import pytest
+
+from walkloom.messages import Request
+from walkloom.state import LoadEstimator
+
+
+def estimator(max_clients: int = 10) -> LoadEstimator:
+    return LoadEstimator(2, class_smoothing=0.5, mean_window=100, max_clients=max_clients)
+
+
+def request(client: object = None, request_class: int = 0, load: float | None = None) -> Request:
+    return Request(1, request_class, 0.0, client_key=client, load=load)
+
+
+def test_a_connection_of_unknown_load_counts_as_one() -> None:
+    assert estimator().load_of(request()) == 1.0
+
+
+def test_a_hint_counts_only_once_a_load_was_told() -> None:
+    loads = estimator()
+    assert loads.load_of(request(load=80.0)) == 1.0
+    loads.record(request(), 40.0)
+    assert loads.load_of(request(load=80.0)) == 2.0
+
+
+def test_loads_are_relative_to_the_mean_of_those_told() -> None:
+    loads = estimator()
+    assert loads.record(request("first"), 10.0) == 1.0
+    assert loads.record(request("second"), 30.0) == pytest.approx(1.5)
+    assert loads.load_of(request("second")) == pytest.approx(1.5)
+
+
+def test_the_mean_of_a_class_moves_towards_what_is_told() -> None:
+    loads = estimator()
+    loads.record(request(request_class=0), 10.0)
+    loads.record(request(request_class=1), 30.0)
+    assert loads.load_of(request("unknown", request_class=1)) == pytest.approx(1.25)
+    assert loads.load_of(request("unknown", request_class=0)) == 1.0
+
+
+def test_the_oldest_clients_are_forgotten() -> None:
+    loads = estimator(max_clients=2)
+    for client, told in (("a", 10.0), ("b", 50.0), ("c", 90.0)):
+        loads.record(request(client), told)
+    assert loads.load_of(request("a")) == loads.load_of(request("unknown"))
+    assert loads.load_of(request("b")) != loads.load_of(request("unknown"))
+
+
+def test_loads_of_nothing_keep_the_division_defined() -> None:
+    assert estimator().record(request(), 0.0) == 0.0
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -197,9 +197,10 @@
             scope.cancel()
             await gone.wait()
             assert trio.current_time() < told_at + LAST_S
-        balancer = server.engine._balancer
-        assert server.engine.idle and not (balancer.requests or balancer.held or balancer.asking)
-        assert not any(s.conns for s in balancer.servers.values())
+        state = server.engine._balancer.state
+        requests = state.requests
+        assert server.engine.idle and not (requests.by_id or requests.held or requests.polling)
+        assert not any(endpoint.connections for endpoint in state.endpoints.by_id.values())
 
     effect = rnd.choice(list(Idempotency))
     kind = RequestClass(
--- a/walkloom/__init__.py
+++ b/walkloom/__init__.py
@@ -1,5 +1,5 @@
 """walkloom: placement decisions for long-lived connections."""
 
-from walkloom.policy import Balancer
+from walkloom.balancer import Balancer
 
 __all__ = ["Balancer"]
--- a/walkloom/engine/engine.py
+++ b/walkloom/engine/engine.py
@@ -17,6 +17,7 @@
 
 import trio
 
+from walkloom.balancer import Balancer
 from walkloom.engine.load_signal import LoadSignalClassifier
 from walkloom.messages import (
     Action,
@@ -49,7 +50,6 @@
     UpdateKind,
     WatchEndpointList,
 )
-from walkloom.policy import Balancer
 
 log = logging.getLogger("walkloom")
 RequestCommand = StartAttempt | Reject | Fail | MigrateConnection
--- a/walkloom/lab/sim.py
+++ b/walkloom/lab/sim.py
@@ -28,6 +28,7 @@
 
 import numpy as np
 
+from walkloom.balancer import Balancer
 from walkloom.lab.settings import CLASSES, TENANTS
 from walkloom.messages import (
     Action,
@@ -56,7 +57,6 @@
     UpdateKind,
     WatchEndpointList,
 )
-from walkloom.policy import Balancer
 
 WAY_MS = 0.5  # one way between any two
 DRAIN_MS, ATTEMPTS, ANSWER_MS = 500.0, 3, 8.0
--- a/walkloom/messages/settings.py
+++ b/walkloom/messages/settings.py
@@ -44,6 +44,19 @@
     # A message on an open connection is wanted within this time; 0: no objective.
     message_latency_objective_ms: float = 0.0
 
+    @property
+    def is_repeatable_anywhere(self) -> bool:
+        """Whether a repeat does no harm at whatever endpoint it comes to."""
+        if self.idempotency is Idempotency.WITH_KEY:
+            return self.deduplication_scope is DeduplicationScope.ALL
+        return self.idempotency is Idempotency.IDEMPOTENT
+
+    @property
+    def is_deduplicated_locally(self) -> bool:
+        """Whether only the endpoints near the first that may have run a request drop its repeats."""
+        is_with_key = self.idempotency is Idempotency.WITH_KEY
+        return is_with_key and self.deduplication_scope is not DeduplicationScope.ALL
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
--- a/walkloom/policy/__init__.py
+++ b/walkloom/policy/__init__.py
@@ -1,5 +1,8 @@
-"""The decisions of a balancer, used by the real program and on the simulator's wire alike."""
+"""The decisions of a balancer and every tuned constant: events in, actions out, no I/O, no state of its own.
 
-from walkloom.policy.balancer import Balancer
-
-__all__ = ["Balancer"]
+- `dispatch`: the life of a request from its arrival to its final answer: attempt, retry, hold, reject
+- `endpoint_selection`, `load_reports`, `load_polling`: which endpoint a request is sent to
+- `outlier_detection`, `slow_start`: which endpoints get trials only, or few requests
+- `migration`: what overloaded endpoints get, and which open connections move
+- `endpoint_watch`: when the endpoint list is asked for
+"""
--- /dev/null
+++ b/walkloom/policy/dispatch.py
@@ -0,0 +1,122 @@
+"""The life of a request: attempt, retry, hold, reject. Events and actions: walkloom/messages/."""
+
+from walkloom.messages.actions import Fail, Reject, StartAttempt
+from walkloom.messages.events import NEVER_RAN, AttemptEnded, AttemptStatus
+from walkloom.messages.settings import Idempotency
+from walkloom.policy import endpoint_selection, load_polling, migration, outlier_detection
+from walkloom.policy.load_reports import REPORT_MAX_AGE_MS
+from walkloom.policy.slow_start import BACK_OFF_MS
+from walkloom.state import BalancerState, EndpointState, Placement, RequestState, TimerToken
+
+HOLD_INTERVAL_MS = 100.0  # between two tries of the requests that wait for capacity
+HOLD_TRIES = 8  # of them are tried in one interval, which bounds the work of a burst
+RETRY_AFTER_MS = 1000.0  # told to rejected clients in the mean, by chance, so that a burst does not return
+FULL_TIMEOUT_SHARE = 0.7  # an attempt whose timeout would take more of the time left gets all of it
+
+
+def place(state: BalancerState, request: RequestState) -> None:
+    """Start an attempt, hold the request, or give its final answer; none of its attempts is out."""
+    latest = request.deadline - 2 * state.settings.tick_ms
+    if state.now >= latest or request.attempts >= state.max_attempts or not may_retry(state, request):
+        answer(state, request)
+        return
+    tier = endpoint_selection.tier_for(state, request)
+    if state.uses_load_reports and load_polling.must_wait(state, request, tier):
+        return
+    endpoint = outlier_detection.due_trial(state, request, tier)
+    endpoint = endpoint or endpoint_selection.select(state, request, tier)
+    if endpoint:
+        _start_attempt(state, request, endpoint)
+    elif request.poll_rounds > 1 or not tier.size or state.now + HOLD_INTERVAL_MS >= latest:
+        answer(state, request)  # held any longer, it may pass its deadline before the next try
+    else:
+        state.requests.held[request.id] = request
+        _start_hold_timer(state)
+
+
+def _start_attempt(state: BalancerState, request: RequestState, endpoint: EndpointState) -> None:
+    remaining_ms = request.deadline - state.now
+    timeout_ms = request.request_class.latency_objective_ms * 2**request.attempts
+    request.attempts += 1
+    is_last = request.attempts >= state.max_attempts
+    may_repeat = request.request_class.idempotency is not Idempotency.NOT_IDEMPOTENT
+    if is_last or timeout_ms > FULL_TIMEOUT_SHARE * remaining_ms or not may_repeat:
+        timeout_ms = remaining_ms
+    request.sent_at = state.now
+    request.tried.add(endpoint.id)
+    state.assign(request, endpoint)
+    if state.uses_load_reports:
+        endpoint.add_placement(Placement(state.now, request.load), REPORT_MAX_AGE_MS)
+    endpoint.cold_budget -= 1
+    migration.pace(state, endpoint)
+    state.actions.append(StartAttempt(request.id, endpoint.id, timeout_ms))
+
+
+def may_retry(state: BalancerState, request: RequestState) -> bool:
+    """Rule 2: whether one more attempt is harmless after those that may have run."""
+    request_class = request.request_class
+    if request.may_have_run_at < 0 or request_class.idempotency is Idempotency.IDEMPOTENT:
+        return True
+    window_ends_at = request.may_have_run_at + request_class.deduplication_window_ms
+    is_in_window = state.now + 2 * state.settings.tick_ms < window_ends_at
+    return request_class.idempotency is Idempotency.WITH_KEY and is_in_window
+
+
+def answer(state: BalancerState, request: RequestState) -> None:
+    """Give the final answer to a request with no attempt out: rejected where harmless, else failed."""
+    state.requests.remove(request.id)
+    retry_after_ms = RETRY_AFTER_MS * (0.5 + state.random.random())
+    retry_after_ms = min(retry_after_ms, state.settings.max_retry_after_ms)
+    if request.may_have_run_at < 0 or request.request_class.is_repeatable_anywhere:
+        state.actions.append(Reject(request.id, retry_after_ms))
+    else:
+        state.actions.append(Fail(request.id))
+
+
+def receive_ended(state: BalancerState, event: AttemptEnded) -> None:
+    """An attempt or a connection ended: retry the request, unless nothing more is owed."""
+    if (attempt := state.requests.attempt_of(event)) is None:
+        return
+    request, endpoint = attempt
+    was_trial = attempt.end_trial()
+    state.release(request, endpoint)
+    is_failure = event.status in outlier_detection.FAILURES
+    if event.status is AttemptStatus.AT_CAPACITY or (request.is_established and is_failure):
+        endpoint.paused_until = state.now + BACK_OFF_MS
+    if is_failure:
+        outlier_detection.record_failure(state, endpoint)
+    elif event.status is AttemptStatus.OK and not request.is_established:
+        outlier_detection.record_success(state, endpoint, was_trial)
+    if event.request_closed or request.is_established or request.is_over:
+        state.requests.remove(event.request_id)
+        return
+    if event.status not in NEVER_RAN and request.may_have_run_at < 0:
+        request.may_have_run_at = request.sent_at
+        request.may_have_run_on = endpoint if request.request_class.is_deduplicated_locally else None
+    place(state, request)
+
+
+def try_held(state: BalancerState) -> None:
+    """Try held requests again: some, and all that would be late at the next try."""
+    state.is_hold_timer_running = False
+    tries = HOLD_TRIES
+    for request_id, request in list(state.requests.held.items()):
+        next_try_at = state.now + HOLD_INTERVAL_MS + 2 * state.settings.tick_ms
+        if tries or next_try_at >= request.deadline:
+            del state.requests.held[request_id]
+            place(state, request)
+            tries -= tries > 0 and request_id in state.requests.held
+    _start_hold_timer(state)
+
+
+def _start_hold_timer(state: BalancerState) -> None:
+    if state.requests.held and not state.is_hold_timer_running:
+        state.is_hold_timer_running = True
+        state.start_timer(state.now + HOLD_INTERVAL_MS, TimerToken.HELD_REQUESTS)
+
+
+def shut_down(state: BalancerState) -> None:
+    """Answer all requests with no attempt out; no further attempt is made for the others."""
+    state.max_attempts = 0
+    for request in [*state.requests.held.values(), *state.requests.polling.values()]:
+        answer(state, request)
--- a/walkloom/simulator/host.py
+++ b/walkloom/simulator/host.py
@@ -7,7 +7,7 @@
 import traceback
 from typing import BinaryIO
 
-from walkloom.policy import Balancer
+from walkloom.balancer import Balancer
 from walkloom.simulator import codec
 
 _LENGTH = struct.Struct(">I")
--- a/walkloom/state/__init__.py
+++ b/walkloom/state/__init__.py
@@ -1,11 +1,38 @@
 """What a balancer knows: records and arithmetic that decide nothing, do no I/O and hold no tuned threshold.
 
-`endpoint` is what is known of one server, `request` of one request, `rendezvous_hash` ranks servers for a
-group alike at all balancers. What is decided from them is in the decision module.
+- `balancer_state`: all that the parts of the policy share, from the clock to the actions of an event
+- `endpoint_table`, `request_table`: the endpoints and the requests that are known, by their ids
+- `endpoint`, `request`: what is known of one endpoint and of one request
+- `endpoint_pool`, `stable_hash`: endpoints of one tier, ranked for an affinity group by rendezvous hashing
+- `load_estimator`: the loads of connections, relative to the mean of those told
+- `timers`: the timers that the policy starts
 """
 
-from walkloom.state.endpoint import EndpointState
-from walkloom.state.rendezvous_hash import EndpointPool, split_by_zone
+from walkloom.state.balancer_state import BalancerState
+from walkloom.state.endpoint import LONG_AGO, READY, EndpointState, Placement
+from walkloom.state.endpoint_pool import Candidates, EndpointPool, Endpoints, Tier
+from walkloom.state.endpoint_table import EndpointTable
+from walkloom.state.load_estimator import LoadEstimator
 from walkloom.state.request import RequestState
+from walkloom.state.request_table import Attempt, RequestTable
+from walkloom.state.stable_hash import stable_hash
+from walkloom.state.timers import TimerToken
 
-__all__ = ["EndpointPool", "EndpointState", "RequestState", "split_by_zone"]
+__all__ = [
+    "LONG_AGO",
+    "READY",
+    "Attempt",
+    "BalancerState",
+    "Candidates",
+    "EndpointPool",
+    "EndpointState",
+    "EndpointTable",
+    "Endpoints",
+    "LoadEstimator",
+    "Placement",
+    "RequestState",
+    "RequestTable",
+    "Tier",
+    "TimerToken",
+    "stable_hash",
+]
--- /dev/null
+++ b/walkloom/state/timers.py
@@ -0,0 +1,12 @@
+"""The timers that the policy starts, told apart by their tokens."""
+
+from enum import IntEnum
+
+
+class TimerToken(IntEnum):
+    """What is due when the timer fires."""
+
+    HELD_REQUESTS = 1
+    WATCH = 2
+    DRAIN = 3
+    LOAD_REPORTS = 4
