--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -39,7 +39,7 @@
     WatchEndpointList,
 )
 from walkloom.policy import slow_start
-from walkloom.simulator import codec
+from walkloom.simulator.records import PeerMessageReceived
 from walkloom.state import LONG_AGO, BalancerState, EndpointState
 
 A, B, C = Endpoint("a"), Endpoint("b"), Endpoint("c")
@@ -529,7 +529,7 @@
         ConnectionSignal(request_id=9, attempt=0, endpoint_id="a", kind=1, value=2.0),
         TimerFired(77),
         LoadReportReceived("z", AttemptStatus.OK, 1.0),
-        codec.PeerMessageReceived(1, b"x"),
+        PeerMessageReceived(1, b"x"),
         ConnectionAdopted(Request(8, 0, 0.0), "z"),
     ):
         assert rig.give(event) == []  # type: ignore[arg-type]  # one is no event of the policy
--- a/tests/simulator/test_codec.py
+++ b/tests/simulator/test_codec.py
@@ -32,7 +32,18 @@
     UpdateKind,
     WatchEndpointList,
 )
-from walkloom.simulator import codec, host
+from walkloom.simulator.decoder import Decoder
+from walkloom.simulator.encoder import encode_actions, encode_reply
+from walkloom.simulator.errors import SettingsError, WireError
+from walkloom.simulator.host import Host
+from walkloom.simulator.records import (
+    CancelAttempt,
+    CloseIdleConnections,
+    FetchEndpointList,
+    PeerMessageReceived,
+    SendPeerMessage,
+)
+from walkloom.simulator.settings import SettingsReader, flatten_settings, parse_settings_lines, read_settings
 
 PROFILE = """
 classes.count=1
@@ -75,7 +86,7 @@
 
 
 def decode(*records: bytes) -> list[tuple[int, object]]:
-    return list(codec.Decoder().batch(frame(*records))[1])
+    return list(Decoder().decode_batch(frame(*records))[1])
 
 
 def test_the_documents_example_events() -> None:
@@ -88,15 +99,15 @@
 
 
 def test_empty_batch_and_reply() -> None:
-    assert list(codec.Decoder().batch(bytes.fromhex("40c06e2000000000 00000000"))[1]) == []
-    assert codec.reply([]) == bytes.fromhex("00000004 00000000")
+    assert list(Decoder().decode_batch(bytes.fromhex("40c06e2000000000 00000000"))[1]) == []
+    assert encode_reply([]) == bytes.fromhex("00000004 00000000")
 
 
 def test_the_documents_example_actions() -> None:
     out: list[bytes] = []
-    codec.encode(out, 3, [StartAttempt(0x93B8C5D3A91C4, SERVER, 80.0), StartTimer(8912.25, 0x4D)])
-    codec.encode(out, 5, [LogMessage("two servers known")])
-    assert codec.reply(out) == bytes.fromhex(
+    encode_actions(out, 3, [StartAttempt(0x93B8C5D3A91C4, SERVER, 80.0), StartTimer(8912.25, 0x4D)])
+    encode_actions(out, 5, [LogMessage("two servers known")])
+    assert encode_reply(out) == bytes.fromhex(
         "00000051 00000003 03e8 00000018 0003 00093b8c5d3a91c4 0a124a07 2bc3 4054000000000000"
         "0410 0000000e 0003 40c1682000000000 0000004d"
         "0438 00000015 0005 0011 74776f2073657276657273206b6e6f776e"
@@ -108,22 +119,22 @@
     [
         (Reject(9, 250.0), 1010, struct.pack(">HQd", 3, 9, 250.0)),
         (Fail(9), 1020, struct.pack(">HQ", 3, 9)),
-        (codec.CancelAttempt(9, 2), 1030, struct.pack(">HQH", 3, 9, 2)),
+        (CancelAttempt(9, 2), 1030, struct.pack(">HQH", 3, 9, 2)),
         (StartTimer(8912.0, 77), 1040, struct.pack(">HdI", 3, 8912.0, 77)),
         (PollLoadReport(SERVER), 1050, struct.pack(">H", 3) + SERVER),
-        (codec.CloseIdleConnections(SERVER), 1060, struct.pack(">H", 3) + SERVER),
-        (codec.SendPeerMessage(None, b"hi"), 1070, struct.pack(">HIH", 3, 0xFFFFFFFF, 2) + b"hi"),
+        (CloseIdleConnections(SERVER), 1060, struct.pack(">H", 3) + SERVER),
+        (SendPeerMessage(None, b"hi"), 1070, struct.pack(">HIH", 3, 0xFFFFFFFF, 2) + b"hi"),
         (LogMessage("five"), 1080, struct.pack(">HH", 3, 4) + b"five"),
         (LogMessage("up", bytes([10, 0, 0, 7, 1, 0])), 1080, struct.pack(">HH", 3, 16) + b"10.0.0.7:256: up"),
         (WatchEndpointList(True), 1100, struct.pack(">HB", 3, 1)),
-        (codec.FetchEndpointList(), 1110, struct.pack(">H", 3)),
+        (FetchEndpointList(), 1110, struct.pack(">H", 3)),
         (MigrateConnection(9), 1120, struct.pack(">HQ", 3, 9)),
         (StartAttempt(9, SERVER, 80.0), 1000, struct.pack(">HQ", 3, 9) + SERVER + struct.pack(">d", 80.0)),
     ],
 )
 def test_each_action(action: Action, code: int, body: bytes) -> None:
     out: list[bytes] = []
-    codec.encode(out, 3, [action])
+    encode_actions(out, 3, [action])
     assert out == [record(code, body)]
 
 
@@ -157,7 +168,7 @@
         ConnectionSignal(request_id=9, attempt=1, endpoint_id=SERVER, kind=2, value=80.0),
         AttemptEstablished(request_id=9, attempt=1, endpoint_id=SERVER, elapsed_ms=12.5),
         LoadReportReceived(endpoint_id=SERVER, status=AttemptStatus.OK, elapsed_ms=2.5, load_report=(0.25,)),
-        codec.PeerMessageReceived(2, b"hi"),
+        PeerMessageReceived(2, b"hi"),
         ConnectionAdopted(
             Request(id=8, request_class=0, deadline=0.0, tenant=1, is_established=True), SERVER
         ),
@@ -185,8 +196,8 @@
     ],
 )
 def test_malformed_frames_are_named(bad: bytes, what: str) -> None:
-    with pytest.raises(codec.WireError, match=what):
-        codec.Decoder().batch(bad)
+    with pytest.raises(WireError, match=what):
+        Decoder().decode_batch(bad)
 
 
 @pytest.mark.parametrize(
@@ -199,12 +210,12 @@
     ],
 )
 def test_wrong_settings_name_the_key(line: str, key: str) -> None:
-    with pytest.raises(codec.SettingsError, match=key):
+    with pytest.raises(SettingsError, match=key):
         settings(PROFILE + line + "\n")
 
 
 def settings(text: str) -> Settings:
-    return codec.settings(codec.SettingsReader(codec.parse_settings_lines(text)))
+    return read_settings(SettingsReader(parse_settings_lines(text)))
 
 
 def test_nested_settings_have_the_same_paths_and_values() -> None:
@@ -215,11 +226,11 @@
         "family-info": {"message-aim": [250.0]},
         "azs": [],
     }
-    assert codec.settings(codec.SettingsReader(codec.flatten_settings(nested))) == settings(PROFILE)
+    assert read_settings(SettingsReader(flatten_settings(nested))) == settings(PROFILE)
 
 
 def test_missing_setting_names_the_key() -> None:
-    with pytest.raises(codec.SettingsError, match=r"guarantees\.drain-grace"):
+    with pytest.raises(SettingsError, match=r"guarantees\.drain-grace"):
         settings(PROFILE.replace("guarantees.drain-grace", "guarantees.other"))
 
 
@@ -277,4 +288,4 @@
 
 def test_a_peers_message_changes_nothing() -> None:
     message = record(1060, struct.pack(">HIH", 3, 2, 2) + b"hi")
-    assert host.Host().answer(frame(attach(), message)) == host.Host().answer(frame(attach()))
+    assert Host().answer(frame(attach(), message)) == Host().answer(frame(attach()))
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -11,7 +11,7 @@
 import orjson
 
 from walkloom.messages import Settings
-from walkloom.simulator import codec
+from walkloom.simulator.settings import SettingsReader, flatten_settings, read_settings
 
 T = TypeVar("T")
 SOCKETS, SOCKETS_LEAST = (
@@ -97,9 +97,9 @@
 
 def _settings(data: Any) -> tuple[Settings, SettingNames, tuple[str, ...], float, float]:
     """For the module; all names; fields of a load report; connect timeout and longest deadline in ms."""
-    profile = codec.SettingsReader(codec.flatten_settings(data))
+    profile = SettingsReader(flatten_settings(data))
     # on sockets loads are asked before a placement; the simulator's wire tells more without
-    settings = replace(codec.settings(profile), server_reports_latency=False)
+    settings = replace(read_settings(profile), server_reports_latency=False)
     names = SettingNames(
         _names(data, "classes"), _names(data, "accounts"), _names(data, "azs"), _names(data, "kinds")
     )
--- a/walkloom/simulator/host.py
+++ b/walkloom/simulator/host.py
@@ -1,4 +1,4 @@
-"""Hosts balancer instances on the simulator's wire: python -m walkloom.simulator.host. It decides nothing."""
+"""Hosts balancers on the simulator's wire: python -m walkloom.simulator.host. It decides nothing."""
 
 from __future__ import annotations
 
@@ -8,65 +8,77 @@
 from typing import BinaryIO
 
 from walkloom.balancer import Balancer
-from walkloom.simulator import codec
+from walkloom.simulator.decoder import Decoder, InstanceEvent
+from walkloom.simulator.encoder import encode_actions, encode_failure, encode_reply
+from walkloom.simulator.errors import WireError
+from walkloom.simulator.records import InstanceStarted, InstanceStopped, PeerMessageReceived
+from walkloom.simulator.settings import SettingsReader, parse_settings_lines, read_settings
 
-_LENGTH = struct.Struct(">I")
+_FRAME_LENGTH = struct.Struct(">I")
+_TRACEBACK_FRAMES = -3  # the innermost ones
+_UNUSABLE_INPUT = 2  # exit status
 
 
 class Host:
-    """The instances of this process, each with a state of its own."""
+    """The balancers of this process, each with a state of its own."""
 
     def __init__(self) -> None:
-        self._decoder = codec.Decoder()
-        self._instances: dict[int, Balancer] = {}
+        self._decoder = Decoder()
+        self._balancers: dict[int, Balancer] = {}
 
     def answer(self, frame: bytes) -> bytes:
-        """The reply to one batch."""
-        now, events = self._decoder.batch(frame)
+        """The reply to one batch. Raises WireError where the frame is malformed."""
+        batch = self._decoder.decode_batch(frame)
         records: list[bytes] = []
-        instances = self._instances
-        for inst, event in events:
+        for instance, event in batch.events:
             try:
-                if isinstance(event, codec.Attach):
-                    profile = codec.SettingsReader(codec.parse_settings_lines(event.profile))
-                    instances[inst] = Balancer(codec.settings(profile), event.seed)
-                elif isinstance(event, codec.Halt):
-                    instances.pop(inst, None)
-                elif inst in instances and not isinstance(event, codec.PeerMessageReceived):
-                    codec.encode(records, inst, instances[inst].handle(event, now))
-            except Exception as error:  # one instance's failure is reported as its own
-                instances.pop(inst, None)
-                where = traceback.format_exc(limit=-3)
-                records.append(codec.bug(inst, f"{type(error).__name__}: {error} on {event!r:.300}\n{where}"))
-        return codec.reply(records)
+                self._handle(records, InstanceEvent(instance, event), batch.now)
+            except Exception as error:
+                self._balancers.pop(instance, None)
+                trace = traceback.format_exc(limit=_TRACEBACK_FRAMES)
+                text = f"{type(error).__name__}: {error} on {event!r:.300}\n{trace}"
+                records.append(encode_failure(instance, text))
+        return encode_reply(records)
+
+    def _handle(self, records: list[bytes], item: InstanceEvent, now: float) -> None:
+        instance, event = item
+        if isinstance(event, InstanceStarted):
+            reader = SettingsReader(parse_settings_lines(event.settings_text))
+            self._balancers[instance] = Balancer(read_settings(reader), event.seed)
+        elif isinstance(event, InstanceStopped):
+            self._balancers.pop(instance, None)
+        elif instance in self._balancers and not isinstance(event, PeerMessageReceived):
+            actions = self._balancers[instance].handle(event, now)
+            encode_actions(records, instance, actions)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answers batches until the input ends."""
+    """Answer batches until the input ends. Raises WireError, which names the batch."""
     host = Host()
     number = 0
-    while head := source.read(4):
-        if len(head) < 4:
-            raise codec.WireError(f"batch {number}: stream ends within the length field")
-        (length,) = _LENGTH.unpack(head)
+    while header := source.read(_FRAME_LENGTH.size):
+        if len(header) < _FRAME_LENGTH.size:
+            raise WireError(f"batch {number}: stream ends within the length field")
+        (length,) = _FRAME_LENGTH.unpack(header)
         frame = source.read(length)
         if len(frame) < length:
-            raise codec.WireError(f"batch {number}: stream ends after {len(frame)} of {length} bytes")
+            raise WireError(f"batch {number}: stream ends after {len(frame)} of {length} bytes")
         try:
-            out = host.answer(frame)
-        except codec.WireError as error:
-            raise codec.WireError(f"batch {number}: {error}") from error
-        sink.write(out)
+            reply = host.answer(frame)
+        except WireError as error:
+            raise WireError(f"batch {number}: {error}") from error
+        sink.write(reply)
         sink.flush()
         number += 1
 
 
 def main() -> int:
+    """Serve standard input and output; returns the exit status."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except codec.WireError as error:
+    except WireError as error:
         print(f"walkloom: {error}", file=sys.stderr)
-        return 2
+        return _UNUSABLE_INPUT
     return 0
 
 
