--- a/tests/test_wire.py
+++ b/tests/simulator/test_codec.py
@@ -9,8 +9,30 @@
 
 import pytest
 
-from walkloom import interface as f
-from walkloom import wire
+from walkloom.messages import (
+    Action,
+    AttemptEnded,
+    AttemptEstablished,
+    AttemptStatus,
+    ClientDisconnected,
+    ConnectionAdopted,
+    ConnectionSignal,
+    EndpointListUpdate,
+    Fail,
+    LoadReportReceived,
+    LogMessage,
+    MigrateConnection,
+    PollLoadReport,
+    Reject,
+    Request,
+    Settings,
+    StartAttempt,
+    StartTimer,
+    TimerFired,
+    UpdateKind,
+    WatchEndpointList,
+)
+from walkloom.simulator import codec, host
 
 PROFILE = """
 classes.count=1
@@ -53,28 +75,28 @@
 
 
 def decode(*records: bytes) -> list[tuple[int, object]]:
-    return list(wire.Decoder().batch(frame(*records))[1])
+    return list(codec.Decoder().batch(frame(*records))[1])
 
 
 def test_the_documents_example_events() -> None:
     got = decode(SUBMIT, TIMER, LAPSED)
-    assert got[1:] == [(3, f.Timer(0x4D)), (5, f.ClientGone(0x926CE0E6F2B19))]
+    assert got[1:] == [(3, TimerFired(0x4D)), (5, ClientDisconnected(0x926CE0E6F2B19))]
     inst, request = got[0]
-    assert inst == 3 and isinstance(request, f.Request)
-    assert request.id == 0x93B8C5D3A91C4 and request.group == 0x2B8E6401D9F37C10
-    assert (request.deadline, request.load, request.repeat) == (8652.25, 12.0, False)
+    assert inst == 3 and isinstance(request, Request)
+    assert request.id == 0x93B8C5D3A91C4 and request.affinity_group == 0x2B8E6401D9F37C10
+    assert (request.deadline, request.load, request.is_retry) == (8652.25, 12.0, False)
 
 
 def test_empty_batch_and_reply() -> None:
-    assert list(wire.Decoder().batch(bytes.fromhex("40c06e2000000000 00000000"))[1]) == []
-    assert wire.reply([]) == bytes.fromhex("00000004 00000000")
+    assert list(codec.Decoder().batch(bytes.fromhex("40c06e2000000000 00000000"))[1]) == []
+    assert codec.reply([]) == bytes.fromhex("00000004 00000000")
 
 
 def test_the_documents_example_actions() -> None:
     out: list[bytes] = []
-    wire.encode(out, 3, [f.Send(0x93B8C5D3A91C4, SERVER, 80.0), f.SetTimer(8912.25, 0x4D)])
-    wire.encode(out, 5, [f.Log("two servers known")])
-    assert wire.reply(out) == bytes.fromhex(
+    codec.encode(out, 3, [StartAttempt(0x93B8C5D3A91C4, SERVER, 80.0), StartTimer(8912.25, 0x4D)])
+    codec.encode(out, 5, [LogMessage("two servers known")])
+    assert codec.reply(out) == bytes.fromhex(
         "00000051 00000003 03e8 00000018 0003 00093b8c5d3a91c4 0a124a07 2bc3 4054000000000000"
         "0410 0000000e 0003 40c1682000000000 0000004d"
         "0438 00000015 0005 0011 74776f2073657276657273206b6e6f776e"
@@ -84,24 +106,24 @@
 @pytest.mark.parametrize(
     "action, code, body",
     [
-        (f.Refuse(9, 250.0), 1010, struct.pack(">HQd", 3, 9, 250.0)),
-        (f.Fail(9), 1020, struct.pack(">HQ", 3, 9)),
-        (f.Cancel(9, 2), 1030, struct.pack(">HQH", 3, 9, 2)),
-        (f.SetTimer(8912.0, 77), 1040, struct.pack(">HdI", 3, 8912.0, 77)),
-        (f.Probe(SERVER), 1050, struct.pack(">H", 3) + SERVER),
-        (f.CloseIdle(SERVER), 1060, struct.pack(">H", 3) + SERVER),
-        (f.Tell(None, b"hi"), 1070, struct.pack(">HIH", 3, 0xFFFFFFFF, 2) + b"hi"),
-        (f.Log("five"), 1080, struct.pack(">HH", 3, 4) + b"five"),
-        (f.Log("up", bytes([10, 0, 0, 7, 1, 0])), 1080, struct.pack(">HH", 3, 16) + b"10.0.0.7:256: up"),
-        (f.Watch(True), 1100, struct.pack(">HB", 3, 1)),
-        (f.Fetch(), 1110, struct.pack(">H", 3)),
-        (f.Move(9), 1120, struct.pack(">HQ", 3, 9)),
-        (f.Send(9, SERVER, 80.0), 1000, struct.pack(">HQ", 3, 9) + SERVER + struct.pack(">d", 80.0)),
+        (Reject(9, 250.0), 1010, struct.pack(">HQd", 3, 9, 250.0)),
+        (Fail(9), 1020, struct.pack(">HQ", 3, 9)),
+        (codec.CancelAttempt(9, 2), 1030, struct.pack(">HQH", 3, 9, 2)),
+        (StartTimer(8912.0, 77), 1040, struct.pack(">HdI", 3, 8912.0, 77)),
+        (PollLoadReport(SERVER), 1050, struct.pack(">H", 3) + SERVER),
+        (codec.CloseIdleConnections(SERVER), 1060, struct.pack(">H", 3) + SERVER),
+        (codec.SendPeerMessage(None, b"hi"), 1070, struct.pack(">HIH", 3, 0xFFFFFFFF, 2) + b"hi"),
+        (LogMessage("five"), 1080, struct.pack(">HH", 3, 4) + b"five"),
+        (LogMessage("up", bytes([10, 0, 0, 7, 1, 0])), 1080, struct.pack(">HH", 3, 16) + b"10.0.0.7:256: up"),
+        (WatchEndpointList(True), 1100, struct.pack(">HB", 3, 1)),
+        (codec.FetchEndpointList(), 1110, struct.pack(">H", 3)),
+        (MigrateConnection(9), 1120, struct.pack(">HQ", 3, 9)),
+        (StartAttempt(9, SERVER, 80.0), 1000, struct.pack(">HQ", 3, 9) + SERVER + struct.pack(">d", 80.0)),
     ],
 )
-def test_each_action(action: f.Action, code: int, body: bytes) -> None:
+def test_each_action(action: Action, code: int, body: bytes) -> None:
     out: list[bytes] = []
-    wire.encode(out, 3, [action])
+    codec.encode(out, 3, [action])
     assert out == [record(code, body)]
 
 
@@ -122,22 +144,32 @@
         )
     ]
     assert got == [
-        f.Outcome(9, 1, SERVER, f.Status.TIMEOUT, 21.5, True, (0.5, 4.0)),
-        f.Note(9, 1, SERVER, 1, 2.5),
-        f.Note(9, 1, SERVER, 2, 80.0),
-        f.Established(9, 1, SERVER, 12.5),
-        f.ProbeResult(SERVER, f.Status.OK, 2.5, (0.25,)),
-        f.PeerMessage(2, b"hi"),
-        f.Adopted(f.Request(8, 0, 0.0, 1, mid_flow=True), SERVER),
+        AttemptEnded(
+            request_id=9,
+            attempt=1,
+            endpoint_id=SERVER,
+            status=AttemptStatus.TIMED_OUT,
+            elapsed_ms=21.5,
+            request_closed=True,
+            load_report=(0.5, 4.0),
+        ),
+        ConnectionSignal(request_id=9, attempt=1, endpoint_id=SERVER, kind=1, value=2.5),
+        ConnectionSignal(request_id=9, attempt=1, endpoint_id=SERVER, kind=2, value=80.0),
+        AttemptEstablished(request_id=9, attempt=1, endpoint_id=SERVER, elapsed_ms=12.5),
+        LoadReportReceived(endpoint_id=SERVER, status=AttemptStatus.OK, elapsed_ms=2.5, load_report=(0.25,)),
+        codec.PeerMessageReceived(2, b"hi"),
+        ConnectionAdopted(
+            Request(id=8, request_class=0, deadline=0.0, tenant=1, is_established=True), SERVER
+        ),
     ]
 
 
 def test_list_numbers_are_resolved_in_order_and_reused() -> None:
     other = b"\x0b" + ENTRY[1:]
     got = decode(sheet(0, ENTRY), update(3, 2, 0), sheet(0, other), update(4, 1, 0), update(5, 3, 9))
-    lists = [e for _, e in got if isinstance(e, f.ServerList)]
-    assert [e.kind for e in lists] == [f.ListKind.CACHED, f.ListKind.FULL, f.ListKind.FAILED]
-    assert lists[0].servers[0].id == SERVER and lists[1].servers[0].id == b"\x0b" + SERVER[1:]
+    lists = [e for _, e in got if isinstance(e, EndpointListUpdate)]
+    assert [e.kind for e in lists] == [UpdateKind.CACHED, UpdateKind.SNAPSHOT, UpdateKind.FAILED]
+    assert lists[0].endpoints[0].id == SERVER and lists[1].endpoints[0].id == b"\x0b" + SERVER[1:]
 
 
 @pytest.mark.parametrize(
@@ -153,8 +185,8 @@
     ],
 )
 def test_malformed_frames_are_named(bad: bytes, what: str) -> None:
-    with pytest.raises(wire.WireError, match=what):
-        wire.Decoder().batch(bad)
+    with pytest.raises(codec.WireError, match=what):
+        codec.Decoder().batch(bad)
 
 
 @pytest.mark.parametrize(
@@ -167,12 +199,12 @@
     ],
 )
 def test_wrong_settings_name_the_key(line: str, key: str) -> None:
-    with pytest.raises(wire.SettingsError, match=key):
+    with pytest.raises(codec.SettingsError, match=key):
         settings(PROFILE + line + "\n")
 
 
-def settings(text: str) -> f.Settings:
-    return wire.settings(wire.Profile(wire.lines_of(text)))
+def settings(text: str) -> Settings:
+    return codec.settings(codec.SettingsReader(codec.parse_settings_lines(text)))
 
 
 def test_nested_settings_have_the_same_paths_and_values() -> None:
@@ -183,18 +215,22 @@
         "family-info": {"message-aim": [250.0]},
         "azs": [],
     }
-    assert wire.settings(wire.Profile(wire.paths_of(nested))) == settings(PROFILE)
+    assert codec.settings(codec.SettingsReader(codec.flatten_settings(nested))) == settings(PROFILE)
 
 
 def test_missing_setting_names_the_key() -> None:
-    with pytest.raises(wire.SettingsError, match=r"guarantees\.drain-grace"):
+    with pytest.raises(codec.SettingsError, match=r"guarantees\.drain-grace"):
         settings(PROFILE.replace("guarantees.drain-grace", "guarantees.other"))
 
 
 def run(stream: bytes, hash_seed: str = "0") -> subprocess.CompletedProcess[bytes]:
     env = {**os.environ, "PYTHONHASHSEED": hash_seed}
     return subprocess.run(
-        [sys.executable, "-m", "walkloom.simhost"], input=stream, capture_output=True, env=env, check=False
+        [sys.executable, "-m", "walkloom.simulator.host"],
+        input=stream,
+        capture_output=True,
+        env=env,
+        check=False,
     )
 
 
@@ -237,3 +273,8 @@
     done = run(packed(frame(attach(3, bad), attach(4), sheet(0, ENTRY), update(4, 2, 0))))
     assert done.returncode == 0
     assert done.stdout.count(struct.pack(">H", 1090)) == 1 and b"classes.0.goal-time" in done.stdout
+
+
+def test_a_peers_message_changes_nothing() -> None:
+    message = record(1060, struct.pack(">HIH", 3, 2, 2) + b"hi")
+    assert host.Host().answer(frame(attach(), message)) == host.Host().answer(frame(attach()))
