--- /dev/null
+++ b/tests/engine/test_latency_monitor.py
@@ -0,0 +1,103 @@
+"""Which endpoints the policy hears of: slow ones, and once more those that no longer are."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+
+from walkloom.engine.latency_monitor import LatencyMonitor
+from walkloom.engine.load_signal import LoadSignalClassifier
+from walkloom.engine.request_handle import RequestHandle
+from walkloom.messages import EndpointId, Event, RequestId
+
+OBJECTIVE_MS = 90.0  # an endpoint is slow above 30 ms
+
+
+@dataclass
+class StubEngine:
+    """A clock that the test sets; nothing else is called here."""
+
+    time_ms: float = 0.0
+    load_signals: LoadSignalClassifier = field(default_factory=lambda: LoadSignalClassifier(OBJECTIVE_MS))
+
+    def now(self) -> float:
+        return self.time_ms
+
+    def dispatch(self, event: Event) -> None:
+        raise AssertionError(event)
+
+    def may_send(self, request_id: RequestId, endpoint_id: EndpointId) -> bool:
+        raise AssertionError(request_id)
+
+    def record_latency(self, endpoint_id: EndpointId, latency_ms: float) -> None:
+        raise AssertionError(endpoint_id)
+
+    def forget(self, request_id: RequestId) -> None:
+        raise AssertionError(request_id)
+
+
+def established(endpoint_id: EndpointId, engine: StubEngine | None = None) -> RequestHandle:
+    return RequestHandle(engine or StubEngine(), 1, inf, attempt=0, endpoint_id=endpoint_id)
+
+
+def summary(monitor: LatencyMonitor, *handles: RequestHandle) -> list[tuple[EndpointId, float, int]]:
+    return [
+        (latency.handle.endpoint_id, latency.latency_ms, latency.sample_count)
+        for latency in monitor.summarize(handles)
+    ]
+
+
+def test_a_slow_endpoint_is_reported_by_its_median_and_a_quick_one_is_not() -> None:
+    monitor = LatencyMonitor(OBJECTIVE_MS)
+    for latency_ms in (10.0, 40.0, 500.0):
+        monitor.record("slow", latency_ms)
+    monitor.record("quick", 30.0)
+    assert summary(monitor, established("slow"), established("quick")) == [("slow", 40.0, 3)]
+
+
+def test_an_endpoint_that_recovers_is_reported_once_more() -> None:
+    monitor = LatencyMonitor(OBJECTIVE_MS)
+    handle = established("a")
+    monitor.record("a", 40.0)
+    assert summary(monitor, handle) == [("a", 40.0, 1)]
+    monitor.record("a", 5.0)
+    assert summary(monitor, handle) == [("a", 5.0, 1)]
+    monitor.record("a", 5.0)
+    assert summary(monitor, handle) == []
+
+
+def test_an_endpoint_that_hangs_is_reported_by_the_line_that_waits() -> None:
+    engine = StubEngine()
+    handle = established("a", engine)
+    handle.record_line_forwarded()
+    monitor = LatencyMonitor(OBJECTIVE_MS)
+    engine.time_ms = 30.0
+    assert summary(monitor, handle) == []
+    engine.time_ms = 31.0
+    assert summary(monitor, handle) == [("a", 31.0, 1)]
+
+
+def test_an_endpoint_without_an_established_connection_is_left_out_and_forgotten() -> None:
+    monitor = LatencyMonitor(OBJECTIVE_MS)
+    placing = RequestHandle(StubEngine(), 2, inf)
+    monitor.record("a", 40.0)
+    assert summary(monitor, placing) == []
+    monitor.record("a", 40.0)
+    assert summary(monitor, established("a")) == [("a", 40.0, 1)]
+    # It recovers while nothing is connected to it: nobody is left to report it for.
+    assert summary(monitor) == []
+    monitor.record("a", 5.0)
+    assert summary(monitor, established("a")) == []
+
+
+def test_samples_count_in_one_interval_only() -> None:
+    monitor = LatencyMonitor(OBJECTIVE_MS)
+    monitor.record("a", 40.0)
+    assert summary(monitor, established("a")) == [("a", 40.0, 1)]
+    assert summary(monitor, established("a")) == []
+
+
+def test_without_an_objective_no_endpoint_is_slow() -> None:
+    monitor = LatencyMonitor(inf)
+    monitor.record("a", 1e9)
+    assert summary(monitor, established("a")) == []
