--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -15,6 +15,9 @@
 import orjson
 import pytest
 
+# How long the program may take for what a test waits for.
+LIMIT_S = 20
+
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
     "classes": [{"name": "view", "goal-time": 300.0, "hard-limit": 1200.0, "repeat": "idempotent"}],
@@ -25,6 +28,7 @@
 
 
 def config(**changes: object) -> dict[str, object]:
+    """Return the content of a configuration file, with other keys or values."""
     known = {"generation": 1, "reset": True, "instances": []}
     base = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f", "known": known}
     return {**base, "settings": SETTINGS, **changes}
@@ -32,7 +36,7 @@
 
 @contextmanager
 def start(path: Path, *command: str) -> Iterator[subprocess.Popen[str]]:
-    """The program, or another command, from the root; killed if the test ends before it."""
+    """Start the program, or another command, from the root; killed if the test ends before it."""
     command = command or (sys.executable, "-m", "walkloom")
     env = {**os.environ, "GW_CONFIG": str(path)}
     with subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True) as process:
@@ -52,14 +56,16 @@
         (orjson.dumps(config(settings={**SETTINGS, "guarantees": {}})), "guarantees.drain-grace"),
     ],
 )
-def test_an_unusable_config_ends_at_once_with_one_line(tmp_path: Path, text: bytes | None, what: str) -> None:
+def test_an_invalid_configuration_ends_the_start_with_one_line(
+    tmp_path: Path, text: bytes | None, what: str
+) -> None:
     path = tmp_path / "config.json"
     if text is not None:
         path.write_bytes(text)
     with start(path) as process:
-        _, err = process.communicate(timeout=20)
+        _, err = process.communicate(timeout=LIMIT_S)
     assert process.returncode == 2 and err.count("\n") == 1
-    assert "config-unusable" in err and what in err
+    assert "configuration_invalid" in err and what in err
 
 
 def test_an_address_that_cannot_be_listened_on_ends_the_start_with_one_line(tmp_path: Path) -> None:
@@ -68,12 +74,12 @@
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
         path.write_bytes(orjson.dumps(config(listen=listen)))
         with start(path) as process:
-            _, err = process.communicate(timeout=20)
+            _, err = process.communicate(timeout=LIMIT_S)
     assert process.returncode == 2 and "Traceback" not in err
-    assert "config-unusable" in err and f"listen {listen}" in err
+    assert "configuration_invalid" in err and f"listen {listen}" in err
 
 
-def test_it_serves_takes_sighups_and_on_sigterm_moves_what_is_open_and_leaves(tmp_path: Path) -> None:
+def test_it_serves_reloads_on_sighup_and_on_sigterm_migrates_what_is_open_and_ends(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = free.getsockname()
     path = tmp_path / "config.json"
@@ -87,9 +93,7 @@
         path.write_bytes(orjson.dumps(full))
         with start(path) as process:
             assert process.stderr
-            for line in process.stderr:
-                if " listening" in line:
-                    break
+            next(line for line in process.stderr if " listening" in line)
             with socket.create_connection(address, timeout=10) as client, client.makefile() as answers:
                 client.sendall(b"PING\r\nOPEN 1 2 c=view,d=1000\r\n")
                 standing, _ = server.accept()
@@ -97,16 +101,18 @@
                 assert [answers.readline(), answers.readline()] == ["PONG\n", "UP 7\n"]
                 good = orjson.dumps(full | {"discovery": f"127.0.0.1:{moved.getsockname()[1]}", "name": "n1"})
                 for text, event in (
-                    (good[:90], "reload-unusable"),
-                    (b"", "reload-unusable"),
-                    (good, "reload "),
+                    (good[:90], "reload_failed"),
+                    (b"", "reload_failed"),
+                    (good, "configuration_reloaded "),
                 ):
                     path.write_bytes(text)
-                    for _ in range(3):  # some may come as one
+                    # Some of them may come as one.
+                    for _ in range(3):
                         process.send_signal(signal.SIGHUP)
-                    line = next(x for x in process.stderr if event in x)
+                    line = next(line for line in process.stderr if event in line)
                     assert ("restart-for=name" in line) == (text is good)
-                for _ in range(2):  # a call in flight gives way to the next
+                # A call in flight gives way to the next.
+                for _ in range(2):
                     call, _ = moved.accept()
                     with call, call.makefile() as asked:
                         assert asked.readline() == "GET /registry/instances HTTP/1.1\n"
@@ -114,25 +120,25 @@
                 process.send_signal(signal.SIGTERM)
                 process.send_signal(signal.SIGHUP)
                 assert answers.readline() == "MOVE\n" and not answers.readline()
-            _, err = process.communicate(timeout=20)
+            _, err = process.communicate(timeout=LIMIT_S)
             standing.close()
-    assert process.returncode == 0 and err.rstrip().endswith("left")
+    assert process.returncode == 0 and err.rstrip().endswith("shutdown_finished")
 
 
-def test_a_second_sigterm_and_a_sighup_change_nothing_of_a_planned_stop(tmp_path: Path) -> None:
+def test_a_second_sigterm_and_a_sighup_change_nothing_of_a_graceful_shutdown(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps(config()))
     with start(path) as process:
         assert process.stderr
         for number, event in (
             (signal.SIGHUP, " listening"),
-            (signal.SIGTERM, " reload "),
-            (signal.SIGTERM, " leaving"),
+            (signal.SIGTERM, " configuration_reloaded "),
+            (signal.SIGTERM, " shutdown_started"),
         ):
-            next(x for x in process.stderr if event in x)
+            next(line for line in process.stderr if event in line)
             process.send_signal(number)
-        _, err = process.communicate(timeout=20)
-    assert process.returncode == 0 and err.rstrip().endswith("left")
+        _, err = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 0 and err.rstrip().endswith("shutdown_finished")
 
 
 def test_a_sighup_as_the_interpreter_starts_does_not_end_it(tmp_path: Path) -> None:
@@ -143,18 +149,20 @@
     command = command.replace(".venv/bin/python", sys.executable)
     with start(path, "/bin/sh", "-c", command) as process:
         assert process.stderr
+        # Until the shell has handed over to the interpreter.
         while b"-m\0walkloom" not in Path(f"/proc/{process.pid}/cmdline").read_bytes():
-            pass  # the shell has not handed over yet
+            pass
         process.send_signal(signal.SIGHUP)
-        next(x for x in process.stderr if " listening" in x)
+        next(line for line in process.stderr if " listening" in line)
         process.send_signal(signal.SIGTERM)
-        _, err = process.communicate(timeout=20)
-    assert process.returncode == 0 and err.rstrip().endswith("left")
+        _, err = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 0 and err.rstrip().endswith("shutdown_finished")
 
 
 def test_a_file_replaced_right_after_it_was_read_is_read_again(tmp_path: Path) -> None:
     """The SIGHUP comes between the reading and the receiver of signals."""
-    path, new = tmp_path / "config.json", tmp_path / "new.json"
+    path = tmp_path / "config.json"
+    new = tmp_path / "new.json"
     with socket.create_server(("127.0.0.1", 0)) as moved:
         moved.settimeout(10)
         settings = {**SETTINGS, "membership-mode": "ask"}
@@ -177,5 +185,5 @@
             with call, call.makefile() as asked:
                 assert asked.readline() == "GET /registry/instances HTTP/1.1\n"
             process.send_signal(signal.SIGTERM)
-            process.communicate(timeout=20)
+            process.communicate(timeout=LIMIT_S)
     assert process.returncode == 0
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -52,19 +52,31 @@
     },
     "costs": {"moves": 0.01},
 }  # fmt: skip
-NEEDED = {"classes", "classes.0.name", "classes.0.goal-time", "classes.0.hard-limit", "classes.0.repeat"}
-NEEDED |= {"guarantees", "guarantees.drain-grace"}
+NEEDED = {
+    "classes",
+    "classes.0.name",
+    "classes.0.goal-time",
+    "classes.0.hard-limit",
+    "classes.0.repeat",
+    "guarantees",
+    "guarantees.drain-grace",
+}
 
 
 def paths(value: Any, path: str = "") -> Iterator[str]:
-    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    """Yield the path of each key and each index inside a value, outer ones first."""
+    items: Any = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
     for key, inner in items:
         yield f"{path}{key}"
         yield from paths(inner, f"{path}{key}.")
 
 
 def changed(value: Any, path: str, new: Any) -> Any:
-    """A copy with another value at a path; without it where new is Ellipsis."""
+    """Return a copy with another value at a path; without it where new is Ellipsis."""
     key, _, rest = path.partition(".")
     pairs: list[Any] = list(value.items() if isinstance(value, dict) else enumerate(value))
     pairs = [
@@ -75,13 +87,14 @@
     return dict(pairs) if isinstance(value, dict) else [x for _, x in pairs]
 
 
-def config(settings: Any) -> Any:
-    file = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f", "known": {}}
-    return parse({**file, "settings": settings}, "here")
+def config_file(**changes: Any) -> dict[str, Any]:
+    """Return the content of a configuration file, with other keys or values."""
+    platform = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f", "known": {}}
+    return {**platform, "settings": FULL, **changes}
 
 
 def plays(settings: Settings) -> None:
-    """A life of some requests, over cold, draining and failing servers: nothing raises, all get an answer."""
+    """Play some requests over cold, draining and failing servers: nothing raises, all get an answer."""
     rig = Rig()
     rig.balancer.__init__(settings, 1)  # type: ignore[misc]
     patience = 100_000.0
@@ -133,7 +146,7 @@
 @pytest.mark.parametrize("new", [..., None, 0, -1, 1, 1e300, "nan", "x", [], {}], ids=repr)
 def test_each_setting_works_or_is_named(path: str, new: Any) -> None:
     try:
-        conf = config(changed(FULL, path, new))
+        conf = parse(config_file(settings=changed(FULL, path, new)), "here")
     except ConfigError as error:
         text = str(error)
         assert any(part in text for part in path.split(".") if not part.isdigit()), text
@@ -145,24 +158,37 @@
 
 @pytest.mark.parametrize("key", ["name", "listen", "discovery", "seed", "settings", "known"])
 @pytest.mark.parametrize("new", [..., None, "", "x:99999", [1]], ids=repr)
-def test_what_the_platform_tells_is_needed_and_named(key: str, new: Any) -> None:
-    file = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f", "known": {}}
-    file = {**file, "settings": FULL, key: new}
+def test_each_key_of_the_platform_is_required_and_named(key: str, new: Any) -> None:
+    file = config_file(**{key: new})
     if new is ...:
         del file[key]
     if key == "known" or (key == "name" and new not in (..., None)):
-        assert parse(file, "here")  # a list that cannot be used does not keep the program from its start
+        # A list that cannot be used does not keep the program from its start.
+        assert parse(file, "here")
     else:
-        with pytest.raises(ConfigError, match=key):
+        with pytest.raises(ConfigError, match=key) as caught:
             parse(file, "here")
+        assert caught.value.field == key
 
 
 @pytest.mark.parametrize("sockets, works", [(0, False), (23, False), ("x", False), (24, True), (1024, True)])
-def test_descriptors_must_hold_an_rpc(sockets: Any, works: bool) -> None:
-    file = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f", "known": {}}
-    file = {**file, "settings": FULL, "limits": {"sockets": sockets}}
+def test_the_descriptor_limit_must_leave_room_for_a_request(sockets: Any, works: bool) -> None:
+    file = config_file(limits={"sockets": sockets})
     if works:
         assert parse(file, "here").sockets == sockets
     else:
-        with pytest.raises(ConfigError, match="limits"):
+        with pytest.raises(ConfigError, match="limits") as caught:
             parse(file, "here")
+        assert caught.value.field == "limits"
+
+
+def test_an_error_keeps_its_cause() -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(config_file(seed="not hex"), "here")
+    assert isinstance(caught.value.__cause__, ValueError)
+
+
+def test_a_file_that_is_no_object_is_rejected_as_a_whole() -> None:
+    with pytest.raises(ConfigError, match="here: not an object") as caught:
+        parse([], "here")
+    assert caught.value.field is None
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -1,4 +1,11 @@
-"""What the platform tells a balancer at its start, read once into small values."""
+"""The configuration that the platform hands to a balancer at its start.
+
+GW_CONFIG names a JSON file. `load` reads it and `parse` turns it into typed values, each checked. The keys of
+the file are the platform's; only this module and `simulator/codec.py`, which reads the key `settings`, know
+them.
+
+ConfigError is the one error of this module.
+"""
 
 from __future__ import annotations
 
@@ -14,20 +21,55 @@
 from walkloom.simulator import codec
 
 T = TypeVar("T")
-SOCKETS, SOCKETS_LEAST = (
-    1024,
-    24,
-)  # where the file sets no limit; room for two RPCs beside transport.descriptor_limit.OWN
-LONGEST_LEAST = 1.0  # ms
+
+# Names the configuration file.
+PATH_VARIABLE = "GW_CONFIG"
+
+# Descriptors that the process may hold, where the file sets no limit.
+DEFAULT_DESCRIPTORS = 1024
+
+# Fewer descriptors do not work: this leaves room for two requests beside those that
+# transport/descriptor_limit.py sets apart for the process itself and for load reports.
+MIN_DESCRIPTORS = 24
+
+# A shorter deadline could not be met by any endpoint.
+MIN_DEADLINE_MS = 1.0
+
+# How long a connection attempt may take, where the file does not say.
+DEFAULT_CONNECT_TIMEOUT_MS = 1000.0
+
+# One more than the largest TCP or UDP port.
+PORT_END = 1 << 16
+
+# The fields of Config that only a restart applies; a reload applies `discovery`, and the rest matters only
+# at the start.
+RESTART_ONLY_FIELDS = (
+    "name",
+    "listen",
+    "sockets",
+    "settings",
+    "names",
+    "fields",
+    "connect_timeout",
+    "longest",
+)
 
 
 class ConfigError(ValueError):
-    """A configuration that cannot be used; the text is one line for the staff."""
+    """A configuration that cannot be used; the text is one line that an operator can act on.
+
+    `field` is the key of the file that is at fault; None where it is the file as a whole, or where the text
+    alone names it.
+    """
+
+    def __init__(self, text: str, *, field: str | None = None) -> None:
+        super().__init__(text)
+        self.field = field
 
 
 @dataclass(frozen=True, slots=True)
 class SettingNames:
-    """The settings' names, in the order in which the module numbers them."""
+    """The names that the settings list; the policy knows each by its index."""
 
     classes: tuple[str, ...]
     tenants: tuple[str, ...]
@@ -37,111 +79,181 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """The configuration of one balancer."""
+
+    # The balancer's name, for the log.
     name: str
+
+    # Host and port to listen on; port 0: the system chooses.
     listen: tuple[str, int]
+
+    # Host and port of discovery.
     discovery: tuple[str, int]
+
+    # Of the policy's random choices.
     seed: int
-    sockets: int  # descriptors that this process may hold
-    known: bytes  # the list as this balancer had it last, in discovery's form
+
+    # Descriptors that the process may hold.
+    sockets: int
+
+    # The endpoint list as this balancer had it last, in discovery's form; `null` where it had none.
+    known: bytes
+
+    # What the policy is told.
     settings: Settings
+
+    # The names behind the indexes in `settings`.
     names: SettingNames
-    fields: tuple[str, ...]  # of a load report, in the settings' order
-    connect_timeout: float  # ms
-    longest: float  # the longest time that a client waits for its answer, ms
+
+    # The fields of a load report that the policy is told, in its order.
+    fields: tuple[str, ...]
+
+    # How long connecting to an endpoint may take, ms.
+    connect_timeout: float
+
+    # The longest deadline of all request classes, ms.
+    longest: float
 
     def fixed_changes(self, new: Config) -> list[str]:
-        """The keys in which a file read again differs and which only a restart applies."""
-        keys = ("name", "listen", "sockets", "settings", "names", "fields", "connect_timeout", "longest")
-        return [key for key in keys if getattr(self, key) != getattr(new, key)]
+        """Return the fields in which a file that was read again differs and which wait for a restart."""
+        return [field for field in RESTART_ONLY_FIELDS if getattr(self, field) != getattr(new, field)]
+
+
+@dataclass(frozen=True, slots=True)
+class _SettingsSection:
+    """What the file holds under the key `settings`."""
+
+    settings: Settings
+    names: SettingNames
+    load_report_fields: tuple[str, ...]
+    connect_timeout_ms: float
+    longest_deadline_ms: float
+
+
+class _FileReader:
+    """Reads keys of the file, and names the file and the key in each error."""
+
+    def __init__(self, data: dict[str, Any], origin: str) -> None:
+        self._data = data
+        self._origin = origin
+
+    def required(self, key: str, convert: Callable[[Any], T]) -> T:
+        """Return the converted value of a key; raises ConfigError where it is absent or cannot be used."""
+        value = self._data.get(key)
+        if value is None:
+            raise ConfigError(f"{self._origin}: lacks the key {key!r}", field=key)
+        try:
+            return convert(value)
+        except (LookupError, ValueError, TypeError, AttributeError) as error:
+            raise ConfigError(f"{self._origin}: {key}: {error}", field=key) from error
 
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
-    path = env.get("GW_CONFIG")
+    """Read the file that GW_CONFIG names; raises ConfigError."""
+    path = env.get(PATH_VARIABLE)
     if not path:
-        raise ConfigError("GW_CONFIG names no file")
+        raise ConfigError(f"{PATH_VARIABLE} names no file", field=PATH_VARIABLE)
     try:
         data = orjson.loads(Path(path).read_bytes())
     except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+        raise ConfigError(f"{path}: {error}") from error
     return parse(data, path)
 
 
 def parse(data: Any, origin: str) -> Config:
-    """The configuration from the form of the platform's file. origin: what an error names."""
+    """Return the configuration from the decoded file; raises ConfigError.
+
+    origin: what an error names as the file.
+    """
     if not isinstance(data, dict):
         raise ConfigError(f"{origin}: not an object")
-
-    def read(key: str, convert: Callable[[Any], T]) -> T:
-        if data.get(key) is None:
-            raise ConfigError(f"{origin}: lacks the key {key!r}")
-        try:
-            return convert(data[key])
-        except (LookupError, ValueError, TypeError, AttributeError) as error:
-            raise ConfigError(f"{origin}: {key}: {error}") from None
-
-    settings, names, fields, connect_timeout, longest = read("settings", _settings)
+    reader = _FileReader(data, origin)
+    section = reader.required("settings", _parse_settings)
     return Config(
-        name=read("name", str),
-        listen=read("listen", address),
-        discovery=read("discovery", address),
-        seed=read("seed", lambda text: int(str(text), 16)),
-        sockets=read("limits", _sockets) if data.get("limits") else SOCKETS,
-        known=orjson.dumps(data.get("known")),  # none: what discovery tells is waited for
-        settings=settings,
-        names=names,
-        fields=fields,
-        connect_timeout=connect_timeout,
-        longest=longest,
+        name=reader.required("name", str),
+        listen=reader.required("listen", address),
+        discovery=reader.required("discovery", address),
+        seed=reader.required("seed", _parse_seed),
+        sockets=reader.required("limits", _parse_descriptors) if data.get("limits") else DEFAULT_DESCRIPTORS,
+        # Kept in discovery's form, whose codec reads it; a list that cannot be used must not prevent a start.
+        known=orjson.dumps(data.get("known")),
+        settings=section.settings,
+        names=section.names,
+        fields=section.load_report_fields,
+        connect_timeout=section.connect_timeout_ms,
+        longest=section.longest_deadline_ms,
     )
 
 
-def _settings(data: Any) -> tuple[Settings, SettingNames, tuple[str, ...], float, float]:
-    """For the module; all names; fields of a load report; connect timeout and longest deadline in ms."""
-    profile = codec.SettingsReader(codec.flatten_settings(data))
-    # on sockets loads are asked before a placement; the simulator's wire tells more without
-    settings = replace(codec.settings(profile), server_reports_latency=False)
+def address(text: str) -> tuple[str, int]:
+    """Return host and port of `HOST:PORT`; raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not _is_port(port):
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def _is_port(text: str) -> bool:
+    # isdigit alone also holds for digits of other scripts.
+    return text.isascii() and text.isdigit() and int(text) < PORT_END
+
+
+def _parse_seed(value: Any) -> int:
+    return int(str(value), 16)
+
+
+def _parse_descriptors(limits: Any) -> int:
+    descriptors = limits.get("sockets", DEFAULT_DESCRIPTORS)
+    if int(descriptors) < MIN_DESCRIPTORS:
+        raise ValueError(f"sockets: {descriptors} is under {MIN_DESCRIPTORS}")
+    return int(descriptors)
+
+
+def _parse_settings(data: Any) -> _SettingsSection:
+    """Return the settings; raises ValueError, TypeError or AttributeError with a text that names the key."""
+    reader = codec.SettingsReader(codec.flatten_settings(data))
+    # Over sockets loads are polled before a placement; only on the simulator's wire do endpoints report
+    # latencies by themselves.
+    settings = replace(codec.settings(reader), server_reports_latency=False)
     names = SettingNames(
-        _names(data, "classes"), _names(data, "accounts"), _names(data, "azs"), _names(data, "kinds")
+        classes=_parse_names(data, "classes"),
+        tenants=_parse_names(data, "accounts"),
+        zones=_parse_names(data, "azs"),
+        machine_types=_parse_names(data, "kinds"),
     )
     if len(set(names.classes)) < len(names.classes):
         raise ValueError(f"classes: a name comes twice: {', '.join(names.classes)}")
-    longest = (
-        profile.number(f"classes.{i}.hard-limit", least=LONGEST_LEAST) for i in range(len(names.classes))
-    )
-    return (
-        settings,
-        names,
-        _names(data, "stats", "fields"),
-        profile.number("limits.connect-timeout", 1000.0),
-        max(longest),
+    return _SettingsSection(
+        settings=settings,
+        names=names,
+        load_report_fields=_parse_names(data, "stats", "fields"),
+        connect_timeout_ms=reader.number("limits.connect-timeout", DEFAULT_CONNECT_TIMEOUT_MS),
+        longest_deadline_ms=_longest_deadline_ms(reader, len(names.classes)),
     )
 
 
-def _sockets(limits: Any) -> int:
-    limit = limits.get("sockets", SOCKETS)
-    if int(limit) < SOCKETS_LEAST:
-        raise ValueError(f"sockets: {limit} is under {SOCKETS_LEAST}")
-    return int(limit)
-
+def _longest_deadline_ms(reader: codec.SettingsReader, class_count: int) -> float:
+    return max(
+        reader.number(f"classes.{index}.hard-limit", least=MIN_DEADLINE_MS) for index in range(class_count)
+    )
 
-def address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit() and int(port) < 1 << 16):
-        raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
 
+def _parse_names(data: Any, *keys: str) -> tuple[str, ...]:
+    """Return the names in the list at a path of keys; empty where it is absent.
 
-def _names(data: Any, *keys: str) -> tuple[str, ...]:
-    """The names of a list of plain ones or of objects; none where it is absent."""
+    An entry is a plain name, or an object with the key `name`.
+    """
+    section = data
     try:
         for key in keys:
-            data = data.get(key) or {}
-        return tuple(_text(x["name"] if isinstance(x, dict) else x) for x in data)
+            section = section.get(key) or {}
+        return tuple(_parse_name(entry) for entry in section)
     except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"{'.'.join(keys)}: no list of names: {error!r}") from None
+        raise ValueError(f"{'.'.join(keys)}: no list of names: {error!r}") from error
 
 
-def _text(name: Any) -> str:
+def _parse_name(entry: Any) -> str:
+    name = entry["name"] if isinstance(entry, dict) else entry
     if name is None:
         raise TypeError("null")
     return str(name)
