--- a/tests/engine/test_latency_monitor.py
+++ b/tests/engine/test_latency_monitor.py
@@ -21,26 +21,33 @@
     load_signals: LoadSignalClassifier = field(default_factory=lambda: LoadSignalClassifier(OBJECTIVE_MS))
 
     def now(self) -> float:
+        """Return the time that the test has set, ms."""
         return self.time_ms
 
     def dispatch(self, event: Event) -> None:
+        """Fail the test."""
         raise AssertionError(event)
 
     def may_send(self, request_id: RequestId, endpoint_id: EndpointId) -> bool:
+        """Fail the test."""
         raise AssertionError(request_id)
 
     def record_latency(self, endpoint_id: EndpointId, latency_ms: float) -> None:
+        """Fail the test."""
         raise AssertionError(endpoint_id)
 
     def forget(self, request_id: RequestId) -> None:
+        """Fail the test."""
         raise AssertionError(request_id)
 
 
 def established(endpoint_id: EndpointId, engine: StubEngine | None = None) -> RequestHandle:
+    """Return the handle of an established connection to an endpoint."""
     return RequestHandle(engine or StubEngine(), 1, inf, attempt=0, endpoint_id=endpoint_id)
 
 
 def summary(monitor: LatencyMonitor, *handles: RequestHandle) -> list[tuple[EndpointId, float, int]]:
+    """End the interval; return endpoint, latency and number of samples of what is reported."""
     return [
         (latency.handle.endpoint_id, latency.latency_ms, latency.sample_count)
         for latency in monitor.summarize(handles)
--- a/tests/engine/test_timer_queue.py
+++ b/tests/engine/test_timer_queue.py
@@ -14,6 +14,7 @@
 
 
 def now_ms() -> float:
+    """Return trio's clock, ms."""
     return trio.current_time() * 1000.0
 
 
