--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -68,7 +68,7 @@
     for got in (program(), program("run")):
         assert got.returncode == 2 and "GW_CONFIG names no file" in got.stderr
     got = program("run", "--config", str(path))
-    assert got.returncode == 2 and "config-unusable" in got.stderr and str(path) in got.stderr
+    assert got.returncode == 2 and "configuration_invalid" in got.stderr and str(path) in got.stderr
 
 
 def test_the_version_and_completion_are_there() -> None:
--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -321,7 +321,7 @@
         raise RuntimeError("module")
 
     monkeypatch.setattr(dispatch, "place", broken)
-    scenario.run(f"c send {OPEN}\nc expect ERR\nc expect EOF", build, ("module-error",))
+    scenario.run(f"c send {OPEN}\nc expect ERR\nc expect EOF", build, ("policy_error",))
 
 
 def test_the_opening_line_is_decoded_once_and_passed_on_but_for_its_patience() -> None:
