--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -15,9 +15,10 @@
 from walkloom.discovery.watcher import DiscoveryError, EndpointWatcher
 from walkloom.discovery.watcher import decode as decode_list
 from walkloom.engine.engine import Engine
+from walkloom.frontends.line.errors import RequestLineError
 from walkloom.frontends.line.listener import accept
 from walkloom.frontends.line.request_lifecycle import LineFrontend
-from walkloom.frontends.line.request_line import RequestLineError, decode
+from walkloom.frontends.line.request_line import decode
 from walkloom.load_reports.poller import decode as decode_report
 from walkloom.messages import Lifecycle, StartAttempt
 from walkloom.transport.descriptor_limit import DescriptorLimit
@@ -311,7 +312,7 @@
     monkeypatch.setattr("walkloom.frontends.line.upstream.open_line_stream", none_left)
     blamed: list[object] = []
     monkeypatch.setattr("walkloom.policy.balancer.Balancer._failed", lambda _, server: blamed.append(server))
-    scenario.run(f"c send {OPEN}\nwithin 100 c expect BUSY*", build, ("attempt-unsent",) * 3)
+    scenario.run(f"c send {OPEN}\nwithin 100 c expect BUSY*", build, ("attempt_not_sent",) * 3)
     assert not blamed
 
 
@@ -333,7 +334,7 @@
         0x7F3A,
         0x5C0F,
     )
-    assert (got.load, got.is_retry, got.is_reconnect, got.stands_at) == (1.5, True, True, None)
+    assert (got.load, got.is_retry, got.is_reconnect, got.adopted_endpoint_id) == (1.5, True, True, None)
     assert got.for_upstream(1234.9) == line.replace(b"d=2000", b"d=1234")
 
 
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -335,7 +335,7 @@
                 for _ in range(int(times)):
                     world.engine._act(MigrateConnection(1))
 
-            scenario.BeforeStep("Relay._first", move)
+            scenario.BeforeStep("Relay._run_until_first_end", move)
 
         async def now(_: str) -> None:
             world.engine._act(MigrateConnection(1))
--- a/walkloom/frontends/line/connection_shutdown.py
+++ b/walkloom/frontends/line/connection_shutdown.py
@@ -1,7 +1,7 @@
-"""Stage 5: how client connections end.
+"""Stage 7: how client connections end.
 
-One owner for the answer of an RPC that was not served, for client connections without a
-request, for those that were relayed, and for all of them when the balancer itself ends.
+One owner for the answer to a request that was not served, for client connections without a request, for those
+that were relayed, and for all of them when the balancer shuts down.
 """
 
 from __future__ import annotations
@@ -16,93 +16,137 @@
 from walkloom.transport.descriptor_limit import DescriptorLimit
 from walkloom.transport.line_stream import LineStream
 
-FULL_MS = 500.0  # when to come back to a balancer that has no descriptor left
-BUSY = b"BUSY %d\r\n"
-ANSWER_S = 1.0  # for an answer to go out, and for its client to end its side
-LAST_READ_S = 0.05  # at the balancer's end: what has come by then is still read and answered
+# When to come back to a balancer that has no descriptor left.
+NO_DESCRIPTOR_RETRY_AFTER_MS = 500.0
+
+# For an answer to go out, and for its client to end its side.
+ANSWER_TIMEOUT_S = 1.0
+
+# At a shutdown, what has come by then is still read and answered.
+LAST_READ_GRACE_S = 0.05
+
+ERR = b"ERR\r\n"
+BUSY = b"BUSY\r\n"
+BUSY_WITH_RETRY_AFTER = b"BUSY %d\r\n"
+MOVE = b"MOVE\r\n"
 
 
 class ConnectionShutdown:
+    """Ends client connections, and knows which stages of them are open.
+
+    All times are those of trio's clock, in seconds.
+    """
+
     def __init__(self, descriptor_limit: DescriptorLimit) -> None:
+        """Descriptors of connections that are about to end can be reclaimed through `descriptor_limit`."""
         self._descriptor_limit = descriptor_limit
-        # stages of client connections, and their grace in seconds
-        self._open = dict[trio.CancelScope, float]()
-        self._end_at = self._gone_at = math.inf  # trio's clock: of the balancer, of the process
-        self._none_open = trio.Event()
-        self.accepting = trio.CancelScope()  # of the loop that accepts client connections
-        self.accepted = trio.Event()  # after its end: every client connection that came in time has its task
+        # The open stages of client connections, and what each may last after the shutdown's start.
+        self._grace_s_by_scope = dict[trio.CancelScope, float]()
+        self._shutdown_started_at_s = math.inf
+        self._exit_at_s = math.inf
+        self._all_closed = trio.Event()
+        # Scope of the listener's loop.
+        self.accepting = trio.CancelScope()
+        # Set by the listener after that scope: every client connection that came in time has its task.
+        self.accepted = trio.Event()
 
     @contextmanager
-    def cancelled_at_shutdown(self, grace: float = 0.0, most: float = math.inf) -> Iterator[trio.CancelScope]:
-        """A stage of a client connection that the balancer's end cuts short.
+    def cancelled_at_shutdown(
+        self, grace_s: float = 0.0, timeout_s: float = math.inf
+    ) -> Iterator[trio.CancelScope]:
+        """Run a stage of a client connection that a shutdown cancels.
 
-        It is cut grace seconds after that, and after `most` seconds at any time. The caller still answers
-        what was cut.
+        It ends `grace_s` after the shutdown's start, or when the process is to exit, or `timeout_s` after its
+        own start, whichever comes first. The caller still answers the client.
         """
-        with trio.CancelScope(deadline=trio.current_time() + most) as scope:
-            self._open[scope] = grace
-            self._cut(scope)
+        with trio.CancelScope(deadline=trio.current_time() + timeout_s) as scope:
+            self._grace_s_by_scope[scope] = grace_s
+            # The shutdown may have started before this stage.
+            self._limit_to_shutdown(scope)
             try:
                 yield scope
             finally:
-                del self._open[scope]
-                if not self._open:
-                    self._none_open.set()
+                del self._grace_s_by_scope[scope]
+                if not self._grace_s_by_scope:
+                    self._all_closed.set()
 
-    def _cut(self, scope: trio.CancelScope) -> None:
-        scope.deadline = min(scope.deadline, self._end_at + self._open[scope], self._gone_at)
+    def _limit_to_shutdown(self, scope: trio.CancelScope) -> None:
+        grace_ends_at_s = self._shutdown_started_at_s + self._grace_s_by_scope[scope]
+        scope.deadline = min(scope.deadline, grace_ends_at_s, self._exit_at_s)
 
     @contextmanager
     def idle(self) -> Iterator[trio.CancelScope]:
-        """A client connection without a request; cancelled if its descriptor is needed at once."""
-        with self.cancelled_at_shutdown(LAST_READ_S) as scope, self._descriptor_limit.reclaimable(scope):
+        """Run the stage without a request; also cancelled if its descriptor is needed elsewhere."""
+        with (
+            self.cancelled_at_shutdown(LAST_READ_GRACE_S) as scope,
+            self._descriptor_limit.reclaimable(scope),
+        ):
             yield scope
 
-    async def send_answer(self, client: LineStream, command: Reject | Fail) -> None:
-        """The final answer, owed also while the program stops."""
-        if isinstance(command, Fail):
-            line = b"ERR\r\n"
-        else:
-            line = BUSY % command.retry_after_ms if command.retry_after_ms >= 1 else b"BUSY\r\n"
-        await self._last(client, line)
+    async def send_answer(self, client: LineStream, answer: Reject | Fail) -> None:
+        """Send the final answer of a request that was not served, also during a shutdown, and close."""
+        await self._send_last_line(client, _encode_answer(answer))
 
     async def close_idle(self, client: LineStream, scope: trio.CancelScope) -> None:
-        """Ends a client connection that rested till its scope ended.
+        """End a client connection without a request, after its stage `idle` with this scope.
 
-        Guards a request that is on its way just now: a close over it would reset the connection; so its
-        client reads that nothing was sent on.
+        Closing over a request that is just arriving would reset the connection, and its client could not know
+        whether it ran. It reads `BUSY` first: nothing was sent on.
         """
-        shed = scope.cancelled_caught and trio.current_time() < self._end_at
-        if shed:  # its descriptor is needed now: no time for the client to end its side
-            with self.cancelled_at_shutdown(math.inf, ANSWER_S), suppress(trio.BrokenResourceError):
-                await client.drain()
-                await client.send(BUSY % FULL_MS)
-                await client.send_eof()
+        is_reclaimed = scope.cancelled_caught and trio.current_time() < self._shutdown_started_at_s
+        if is_reclaimed:
+            await self._close_reclaimed(client)
         elif not client.ended:
-            await self.send_answer(client, Reject(None))
+            await self.send_answer(client, Reject(request_id=None))
 
-    async def close_relayed(self, client: LineStream, move: bool) -> None:
-        """Ends a client connection after its relay; what that left of a line goes out before the MOVE."""
-        await self._last(client, b"MOVE\r\n" if move else b"")
+    async def _close_reclaimed(self, client: LineStream) -> None:
+        """Answer without waiting for the client to end its side: the descriptor is needed at once."""
+        with self.cancelled_at_shutdown(math.inf, ANSWER_TIMEOUT_S), suppress(trio.BrokenResourceError):
+            # Unread input would turn the close into a reset, which can overtake the answer.
+            await client.drain()
+            await client.send(BUSY_WITH_RETRY_AFTER % NO_DESCRIPTOR_RETRY_AFTER_MS)
+            await client.send_eof()
 
-    async def _last(self, client: LineStream, line: bytes) -> None:
+    async def close_relayed(self, client: LineStream, owes_move: bool) -> None:
+        """End a client connection after its relay, with a `MOVE` where it is owed.
+
+        What the relay left of a half-sent line goes out first.
+        """
+        await self._send_last_line(client, MOVE if owes_move else b"")
+
+    async def _send_last_line(self, client: LineStream, line: bytes) -> None:
         with (
-            self.cancelled_at_shutdown(math.inf, ANSWER_S) as scope,
+            self.cancelled_at_shutdown(math.inf, ANSWER_TIMEOUT_S) as scope,
             self._descriptor_limit.reclaimable(scope),
         ):
+            # Also without a line: sending flushes what a cancelled task has left.
             with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 await client.send(line)
             await client.close_gently()
 
-    async def shut_down(self, gone_at: float) -> None:
-        """The balancer ends (gone_at: trio's clock): accepts those that came in time, reads what they have
-        sent, cuts short what rests, waits or stands, and returns once all have their answers."""
-        self._end_at, self._gone_at = trio.current_time(), gone_at
+    async def shut_down(self, exit_at_s: float) -> None:
+        """End all client connections, and return once they have their answers, or at `exit_at_s`.
+
+        Connections in the listener's queue are accepted, and what they have sent is read. Stages that wait
+        are cancelled; the task of each connection then answers its client.
+        """
+        # Both before the first cancellation: stages that start from now on take their deadline from them.
+        self._shutdown_started_at_s = trio.current_time()
+        self._exit_at_s = exit_at_s
         self.accepting.cancel()
-        for scope in self._open:
-            self._cut(scope)
-        with trio.move_on_at(gone_at):
+        for scope in self._grace_s_by_scope:
+            self._limit_to_shutdown(scope)
+        with trio.move_on_at(exit_at_s):
+            # Before the open stages are counted: a connection from the queue may not have begun its first.
             await self.accepted.wait()
-            while self._open:
-                self._none_open = trio.Event()
-                await self._none_open.wait()
+            while self._grace_s_by_scope:
+                self._all_closed = trio.Event()
+                await self._all_closed.wait()
+
+
+def _encode_answer(answer: Reject | Fail) -> bytes:
+    if isinstance(answer, Fail):
+        return ERR
+    if answer.retry_after_ms >= 1:
+        return BUSY_WITH_RETRY_AFTER % answer.retry_after_ms
+    return BUSY
--- a/walkloom/frontends/line/listener.py
+++ b/walkloom/frontends/line/listener.py
@@ -1,4 +1,4 @@
-"""Stage 0: listens, and gives every client connection a task of its own."""
+"""Stage 1: accept client connections, and give each a task of its own."""
 
 from __future__ import annotations
 
@@ -14,46 +14,73 @@
 from walkloom.transport.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("walkloom")
-# guards the listener: no descriptor is free, and one soon will be
-SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-SHORT_PAUSE_S = 0.02
+
+# Errors of accept() that mean: no descriptor or buffer is free. Closing an idle connection helps.
+RESOURCE_EXHAUSTED_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+# After a failed accept(): long enough not to spin, short against the time that clients wait.
+ACCEPT_RETRY_DELAY_S = 0.02
 
 
 async def accept(
     frontend: LineFrontend, address: tuple[str, int], task_status: trio.TaskStatus[list[trio.SocketListener]]
 ) -> None:
-    """Serves until cancelled."""
+    """Accept and serve client connections until the frontend's `connection_shutdown` ends the accepting.
 
-    async def serve(stream: trio.SocketStream) -> None:
-        client = LineStream(stream)
-        try:
-            await serve_connection(frontend, client)
-        except Exception:  # guards the program: an exception ends its RPC only
-            log.exception("rpc-crashed")
-        finally:
-            await client.close()
-
-    failed = RateLimitedLog("accept-failed")
-    try:
-        listeners = await trio.open_tcp_listeners(address[1], host=address[0])
-    except OSError as error:
-        raise ConfigError(f"listen {address[0]}:{address[1]}: {error}") from None
+    Returns once the last accepted connection has ended. Raises ConfigError if the address cannot be used.
+    """
+    listeners = await _open_listeners(address)
+    listener = listeners[0]
     async with trio.open_nursery() as nursery:
         task_status.started(listeners)
         with frontend.connection_shutdown.accepting:
-            while True:
-                try:
-                    stream = await listeners[0].accept()
-                except OSError as error:  # guards the program: it concerns one client, or passes
-                    failed.count(str(error))
-                    if error.errno in SHORT:
-                        frontend.descriptor_limit.reclaim_oldest()
-                    await trio.sleep(SHORT_PAUSE_S)
-                else:
-                    nursery.start_soon(serve, stream)
-        # guards clients that came in time: with the listener, those that wait to be accepted are reset
-        with suppress(OSError):
-            while listeners[0].socket.is_readable():
-                nursery.start_soon(serve, await listeners[0].accept())
-        await listeners[0].aclose()
+            await _accept_until_cancelled(frontend, listener, nursery)
+        # Closing the listener resets the connections in its queue, so that they are accepted first.
+        await _accept_queued(frontend, listener, nursery)
+        await listener.aclose()
+        # The shutdown waits for this before it looks for open connections: by now each one has its task.
         frontend.connection_shutdown.accepted.set()
+
+
+async def _open_listeners(address: tuple[str, int]) -> list[trio.SocketListener]:
+    host, port = address
+    try:
+        return await trio.open_tcp_listeners(port, host=host)
+    except OSError as error:
+        raise ConfigError(f"listen {host}:{port}: {error}") from error
+
+
+async def _accept_until_cancelled(
+    frontend: LineFrontend, listener: trio.SocketListener, nursery: trio.Nursery
+) -> None:
+    failures = RateLimitedLog("accept_failed")
+    while True:
+        try:
+            stream = await listener.accept()
+        except OSError as error:
+            # It concerns one client, or will pass: the listener must survive it in both cases.
+            failures.count(str(error))
+            if error.errno in RESOURCE_EXHAUSTED_ERRNOS:
+                frontend.descriptor_limit.reclaim_oldest()
+            await trio.sleep(ACCEPT_RETRY_DELAY_S)
+        else:
+            nursery.start_soon(_serve_client, frontend, stream)
+
+
+async def _accept_queued(
+    frontend: LineFrontend, listener: trio.SocketListener, nursery: trio.Nursery
+) -> None:
+    with suppress(OSError):
+        while listener.socket.is_readable():
+            stream = await listener.accept()
+            nursery.start_soon(_serve_client, frontend, stream)
+
+
+async def _serve_client(frontend: LineFrontend, stream: trio.SocketStream) -> None:
+    client = LineStream(stream)
+    try:
+        await serve_connection(frontend, client)
+    except Exception:  # A fault in serving one connection must not end all others.
+        log.exception("connection_task_crashed")
+    finally:
+        await client.close()
--- a/walkloom/frontends/line/placement.py
+++ b/walkloom/frontends/line/placement.py
@@ -1,4 +1,4 @@
-"""Stage 2: places an RPC: commands come from the engine, attempts go out one after another."""
+"""Stage 4: place a request; the engine commands, and attempts go out one after another."""
 
 from __future__ import annotations
 
@@ -12,37 +12,57 @@
 from walkloom.frontends.line.upstream import EstablishedUpstream, start_attempt
 from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
 
-STOOD_TRIES, STOOD_PAUSE_S, STOOD_WAIT_MS = 3, 1.0, 10_000.0
+# An adopted connection that is not up after 40 s is lost (page "Protocol", "Clients to balancers"): three
+# attempts of 10 s, each followed by 1 s, are over after 33 s.
+MAX_ADOPTION_ATTEMPTS = 3
+ADOPTION_ATTEMPT_TIMEOUT_MS = 10_000.0
+ADOPTION_RETRY_DELAY_S = 1.0
 
 
 async def place(
-    engine: Engine, watcher: EndpointWatcher, handle: RequestHandle, request_line: RequestLine, setup: float
+    engine: Engine,
+    watcher: EndpointWatcher,
+    handle: RequestHandle,
+    request_line: RequestLine,
+    connect_timeout_ms: float,
 ) -> EstablishedUpstream | Reject | Fail:
-    """The upstream connection that took the RPC, or the module's final answer."""
+    """Return the upstream connection that took a new request, or the policy's final answer."""
     while True:
         command = await handle.next_command()
         if isinstance(command, Reject | Fail):
             return command
         if isinstance(command, StartAttempt):
-            until = min(handle.attempt_started_at + (command.timeout_ms or math.inf), handle.deadline)
+            attempt_timeout_ms = command.timeout_ms or math.inf
+            give_up_at_ms = min(handle.attempt_started_at + attempt_timeout_ms, handle.deadline)
             address = watcher.address(command.endpoint_id)
-            result = await start_attempt(engine, handle, request_line, address, until, setup)
-            if isinstance(result, EstablishedUpstream):
+            outcome = await start_attempt(
+                engine, handle, request_line, address, give_up_at_ms, connect_timeout_ms
+            )
+            if isinstance(outcome, EstablishedUpstream):
                 handle.report_established()
-                return result
-            handle.report_ended(result)
+                return outcome
+            handle.report_ended(outcome)
 
 
 async def rejoin(
-    engine: Engine, watcher: EndpointWatcher, handle: RequestHandle, request_line: RequestLine, setup: float
+    engine: Engine,
+    watcher: EndpointWatcher,
+    handle: RequestHandle,
+    request_line: RequestLine,
+    connect_timeout_ms: float,
 ) -> EstablishedUpstream | Fail:
-    """A connection that stood before this balancer started goes back to its own upstream connection."""
-    for _ in range(STOOD_TRIES):
-        until = engine.now() + STOOD_WAIT_MS
+    """Return the upstream connection of an adopted connection, at the server where it was open before.
+
+    The policy has it as established from the start, and is told only if it cannot be had: then it ended.
+    """
+    for _ in range(MAX_ADOPTION_ATTEMPTS):
+        give_up_at_ms = engine.now() + ADOPTION_ATTEMPT_TIMEOUT_MS
         address = watcher.address(handle.endpoint_id)
-        result = await start_attempt(engine, handle, request_line, address, until, setup)
-        if isinstance(result, EstablishedUpstream):
-            return result
-        await trio.sleep(STOOD_PAUSE_S)
+        outcome = await start_attempt(
+            engine, handle, request_line, address, give_up_at_ms, connect_timeout_ms
+        )
+        if isinstance(outcome, EstablishedUpstream):
+            return outcome
+        await trio.sleep(ADOPTION_RETRY_DELAY_S)
     handle.report_ended(AttemptStatus.CONNECTION_RESET, closed=True)
     return Fail(handle.id)
--- a/walkloom/frontends/line/relay.py
+++ b/walkloom/frontends/line/relay.py
@@ -1,4 +1,4 @@
-"""Stage 4: passes whole lines on, both ways, until one side ends, falls silent or is moved."""
+"""Stage 6: relay whole lines both ways until a side ends, falls silent, or the client is migrated."""
 
 from __future__ import annotations
 
@@ -8,117 +8,165 @@
 import trio
 
 from walkloom.engine.engine import RequestHandle
+from walkloom.frontends.line.upstream import MAX_LOGGED_BYTES
 from walkloom.messages import AttemptStatus, MigrateConnection
 from walkloom.transport.line_stream import LINGER_S, LineError, LineStream, first_word
 from walkloom.transport.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("walkloom")
-_malformed = RateLimitedLog("channel-malformed")
-SILENT_MS = 4000.0  # a line that has not come back for so long: its machine is gone or cut off
-LOOK_S = 0.25
-LOGGED = {AttemptStatus.CONNECTION_RESET: "RESET"}  # the log's words where they are not the names
-FAREWELLS = {
-    b"BYE": AttemptStatus.OK,
-    b"MOVE": AttemptStatus.CANCELLED,
-}  # of a server, and what they tell of the end
+
+# A server returns a line at once, clients send one every 2 s, and a connection to a silent server must be
+# ended within 7 s (page "Protocol", "Figures"): at most 2 s until a line comes, and 4 s after it, are 6 s.
+SILENCE_TIMEOUT_MS = 4000.0
+
+# How often a connection is checked for silence.
+SILENCE_CHECK_INTERVAL_S = 0.25
+
+# The word before a connection's load among a server's lines.
+LOAD = b"LOAD"
+
+# The words that announce the end of a server's connection, and how it ended then.
+STATUS_BY_CLOSING_WORD = {b"BYE": AttemptStatus.OK, b"MOVE": AttemptStatus.CANCELLED}
+
+# The log's words for statuses where they are not the names.
+LOG_WORD_BY_STATUS = {AttemptStatus.CONNECTION_RESET: "RESET"}
+
+# One for all connections: what clients send is logged once a second at most, however many they are.
+_malformed_client_lines = RateLimitedLog("client_line_malformed")
 
 
 class Relay:
+    """An established connection between one client and one server."""
+
     def __init__(self, handle: RequestHandle, client: LineStream, upstream: LineStream) -> None:
-        self.handle, self.client, self.upstream = handle, client, upstream
-        self.status = AttemptStatus.CANCELLED
-        self.last = b""  # the newest verb from the upstream connection: BYE or MOVE explain an end
-        self._moved = False
+        """Take over the upstream connection, which `run` closes; the client's remains the caller's."""
+        self._handle = handle
+        self._client = client
+        self._upstream = upstream
+        self._status = AttemptStatus.CANCELLED
+        # First word of the newest line from the server: BYE or MOVE explain the end that follows.
+        self._last_upstream_word = b""
+        self._is_migrating = False
 
-    async def run(self, receipt: bytes) -> None:
-        """Tells the outcome and closes the upstream connection; the client's is left to its owner."""
+    async def run(self, receipt_line: bytes) -> None:
+        """Send the client the server's receipt line, relay until the end, and report how it ended."""
         try:
-            await self.client.send(receipt)
+            await self._client.send(receipt_line)
             async with trio.open_nursery() as nursery:
-                for part in (self._upward, self._downward, self._commands, self._silence):
-                    nursery.start_soon(self._first, part, nursery.cancel_scope)
-        except trio.BrokenResourceError:  # the client left as its receipt was on the way
-            self.status = AttemptStatus.CANCELLED
+                for part in (
+                    self._forward_to_upstream,
+                    self._forward_to_client,
+                    self._wait_for_migration,
+                    self._wait_for_silence,
+                ):
+                    nursery.start_soon(self._run_until_first_end, part, nursery.cancel_scope)
+        except trio.BrokenResourceError:
+            # The client left while its receipt line was on the way.
+            self._status = AttemptStatus.CANCELLED
         finally:
-            log.info(
-                "rpc-end request=%d server=%s status=%s",
-                self.handle.id,
-                self.handle.endpoint_id,
-                LOGGED.get(self.status, self.status.name),
-            )
-            # at once: guards against moving clients that left already and only take their time to close
-            self.handle.report_ended(self.status, closed=True)
+            # Reported before any wait: a client that has left, but whose connection takes a while to close,
+            # must not be chosen for migration meanwhile.
+            self._report_end()
             with trio.CancelScope(shield=True):
-                await self.upstream.close()
+                await self._upstream.close()
+
+    def owes_move(self, ended_by_shutdown: bool) -> bool:
+        """Return whether the client must still be sent `MOVE`.
+
+        A shutdown ends the relays that are left after all migrations. Where the server has just sent `BYE` or
+        a `MOVE` of its own, the client knows, and expects no other line.
+        """
+        is_moved = self._is_migrating or ended_by_shutdown
+        return is_moved and self._last_upstream_word not in STATUS_BY_CLOSING_WORD
 
-    def owes_move(self, cut: bool) -> bool:
-        """Whether the client is still to be told to move. cut: the balancer's end ended the relay, after all
-        others had moved. Guards a client whose server has just ended its connection against two farewells."""
-        return (self._moved or cut) and self.last not in FAREWELLS
+    def _report_end(self) -> None:
+        log.info(
+            "connection_ended request=%d endpoint=%s status=%s",
+            self._handle.id,
+            self._handle.endpoint_id,
+            LOG_WORD_BY_STATUS.get(self._status, self._status.name),
+        )
+        self._handle.report_ended(self._status, closed=True)
 
-    async def _first(self, part: Callable[[], Awaitable[AttemptStatus]], scope: trio.CancelScope) -> None:
-        """The first part that ends decides how the connection ended."""
+    async def _run_until_first_end(
+        self, part: Callable[[], Awaitable[AttemptStatus]], scope: trio.CancelScope
+    ) -> None:
+        """Run one part; the first to end decides how the connection ended, and cancels the others."""
         try:
-            self.status = await part()
-        except trio.ClosedResourceError:  # another part has reset this side, and tells why
+            self._status = await part()
+        except trio.ClosedResourceError:
+            # Another part has reset this side, and returns the status itself.
             return
         scope.cancel()
 
-    async def _upward(self) -> AttemptStatus:
+    async def _forward_to_upstream(self) -> AttemptStatus:
         try:
-            while data := await self.client.read_complete_lines():
-                for _ in range(data.count(b"\n")):
-                    self.handle.record_line_forwarded()
-                try:
-                    await self.upstream.send(data)
-                except trio.BrokenResourceError:
-                    await trio.sleep_forever()  # the other way reads why it broke, and what came before
-            await self.upstream.send_eof()
-            await trio.sleep(LINGER_S)  # the server's last lines still go down
+            while lines := await self._client.read_complete_lines():
+                # Before the send, which may block: a server that reads nothing is silent from here on.
+                for _ in range(lines.count(b"\n")):
+                    self._handle.record_line_forwarded()
+                await self._send_upstream(lines)
+            await self._upstream.send_eof()
+            # The server's last lines still go down to the client.
+            await trio.sleep(LINGER_S)
         except LineError as error:
-            _malformed.count(f"request {self.handle.id}: {error}")
+            _malformed_client_lines.count(f"request {self._handle.id}: {error}")
         except trio.BrokenResourceError:
-            await self.upstream.reset()
+            # The client's reset is passed on as a reset.
+            await self._upstream.reset()
         return AttemptStatus.CANCELLED
 
-    async def _downward(self) -> AttemptStatus:
+    async def _send_upstream(self, lines: bytes) -> None:
+        try:
+            await self._upstream.send(lines)
+        except trio.BrokenResourceError:
+            # Ending here would hide lines that the server sent before it broke the connection, and why: the
+            # other direction reads both, and then ends the relay.
+            await trio.sleep_forever()
+
+    async def _forward_to_client(self) -> AttemptStatus:
         try:
-            while data := await self.upstream.read_complete_lines():
-                for line in data.splitlines():
-                    self._heard(line)
+            while lines := await self._upstream.read_complete_lines():
+                for line in lines.splitlines():
+                    self._observe_upstream_line(line)
                 try:
-                    await self.client.send(data)
+                    await self._client.send(lines)
                 except trio.BrokenResourceError:
                     return AttemptStatus.CANCELLED
         except LineError as error:
-            log.warning("subchannel-malformed server=%s error=%r", self.handle.endpoint_id, str(error))
+            log.warning("upstream_malformed endpoint=%s error=%r", self._handle.endpoint_id, str(error))
         except trio.BrokenResourceError:
-            await self.client.reset()
+            # The server's reset is passed on as a reset.
+            await self._client.reset()
             return AttemptStatus.CONNECTION_RESET
-        if self.client.ended:
+        if self._client.ended:
             return AttemptStatus.CANCELLED
-        return FAREWELLS.get(self.last, AttemptStatus.CONNECTION_RESET)
-
-    def _heard(self, line: bytes) -> None:
-        self.last = first_word(line)
-        if self.last == b"LOAD":
-            try:
-                self.handle.report_load_signal(float(line.split()[1]))
-            except (IndexError, ValueError):
-                log.warning("subchannel-odd server=%s line=%r", self.handle.endpoint_id, line[:80])
-        elif self.last not in FAREWELLS:
-            self.handle.record_line_returned()
-
-    async def _commands(self) -> AttemptStatus:
-        while not isinstance(await self.handle.next_command(), MigrateConnection):
+        return STATUS_BY_CLOSING_WORD.get(self._last_upstream_word, AttemptStatus.CONNECTION_RESET)
+
+    def _observe_upstream_line(self, line: bytes) -> None:
+        self._last_upstream_word = first_word(line)
+        if self._last_upstream_word == LOAD:
+            self._report_load(line)
+        elif self._last_upstream_word not in STATUS_BY_CLOSING_WORD:
+            self._handle.record_line_returned()
+
+    def _report_load(self, line: bytes) -> None:
+        try:
+            self._handle.report_load_signal(float(line.split()[1]))
+        except (IndexError, ValueError):
+            logged_line = line[:MAX_LOGGED_BYTES]
+            log.warning("upstream_line_unknown endpoint=%s line=%r", self._handle.endpoint_id, logged_line)
+
+    async def _wait_for_migration(self) -> AttemptStatus:
+        while not isinstance(await self._handle.next_command(), MigrateConnection):
             pass
-        log.info("rpc-moved request=%d server=%s", self.handle.id, self.handle.endpoint_id)
-        self._moved = True
+        log.info("connection_migrated request=%d endpoint=%s", self._handle.id, self._handle.endpoint_id)
+        self._is_migrating = True
         return AttemptStatus.CANCELLED
 
-    async def _silence(self) -> AttemptStatus:
-        while self.handle.oldest_pending_line_ms() < SILENT_MS:
-            await trio.sleep(LOOK_S)
-        log.warning("subchannel-silent server=%s request=%d", self.handle.endpoint_id, self.handle.id)
-        self._moved = True
+    async def _wait_for_silence(self) -> AttemptStatus:
+        while self._handle.oldest_pending_line_ms() < SILENCE_TIMEOUT_MS:
+            await trio.sleep(SILENCE_CHECK_INTERVAL_S)
+        log.warning("upstream_silent endpoint=%s request=%d", self._handle.endpoint_id, self._handle.id)
+        self._is_migrating = True
         return AttemptStatus.CONNECTION_RESET
--- a/walkloom/frontends/line/request_lifecycle.py
+++ b/walkloom/frontends/line/request_lifecycle.py
@@ -1,18 +1,23 @@
-"""The life of one RPC, from its first line to its end, in one task."""
+"""Stage 3: the path of one request, from the first line of its connection to its end, in one task.
+
+Read `serve_connection` first. On every path one final answer goes out, and none for a client that has left.
+"""
 
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 
 import trio
 
 from walkloom.config import SettingNames
 from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.engine.engine import Engine, RequestHandle
-from walkloom.frontends.line.connection_shutdown import FULL_MS, ConnectionShutdown
+from walkloom.frontends.line.connection_shutdown import NO_DESCRIPTOR_RETRY_AFTER_MS, ConnectionShutdown
+from walkloom.frontends.line.errors import RequestLineError
 from walkloom.frontends.line.placement import place, rejoin
 from walkloom.frontends.line.relay import Relay
-from walkloom.frontends.line.request_line import RequestLine, RequestLineError, read_request_line
+from walkloom.frontends.line.request_line import MAX_SHOWN_CHARACTERS, RequestLine, read_request_line
 from walkloom.frontends.line.upstream import EstablishedUpstream
 from walkloom.messages import AttemptStatus, Fail, Reject
 from walkloom.transport.descriptor_limit import DescriptorLimit
@@ -20,12 +25,20 @@
 from walkloom.transport.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("walkloom")
-STANDS_MS = 60_000.0  # how long after the start connections that stood before come back
-MARGIN_MS = 20.0  # of a client's patience: the way of its line to us and of our answer back
+
+# Connections that were open before the start are adopted for so long after it. Those that are not up after
+# 40 s are lost in any case (page "Protocol", "Clients to balancers").
+ADOPTION_WINDOW_MS = 60_000.0
+
+# Taken off the time that a client waits: its line takes a while to come here, and the answer to go back.
+ANSWER_MARGIN_MS = 20.0
+
+# The answer to a client for whose connections no descriptor is left.
+REJECT_WITHOUT_DESCRIPTOR = Reject(request_id=None, retry_after_ms=NO_DESCRIPTOR_RETRY_AFTER_MS)
 
 
 class LineFrontend:
-    """What every RPC of this frontend shares."""
+    """What all connections of this frontend share."""
 
     def __init__(
         self,
@@ -36,139 +49,205 @@
         longest: float,
         descriptor_limit: DescriptorLimit,
     ) -> None:
-        self.engine, self.watcher, self.names, self.descriptor_limit = (
-            engine,
-            watcher,
-            names,
-            descriptor_limit,
-        )
-        self.connect_timeout, self.longest = connect_timeout, longest
+        """Both times are in ms: the most for connecting to a server, and the most that a client may wait."""
+        self.engine = engine
+        self.watcher = watcher
+        self.names = names
+        self.connect_timeout_ms = connect_timeout
+        self.max_patience_ms = longest
+        self.descriptor_limit = descriptor_limit
         self.connection_shutdown = ConnectionShutdown(descriptor_limit)
-        self.ids = set[str]()  # of the RPCs that are open
-        self.stands_till = engine.now() + STANDS_MS
-        self.malformed = RateLimitedLog("rpc-malformed")
-
-    def check(self, request_line: RequestLine) -> None:
-        """Guards open RPCs and the module against request lines that are in form and yet no client's."""
-        if request_line.id in self.ids:
-            raise RequestLineError(f"id {request_line.id} is open")
-        if request_line.stands_at is None:
-            self.stands_till = 0.0  # all that stood before have come back by now
-        elif self.engine.now() >= self.stands_till or not self.watcher.address(request_line.stands_at):
-            raise RequestLineError(f"nothing stands at {request_line.stands_at[:40]}")
+        # The wire's ids of all requests and established connections.
+        self.open_request_ids = set[str]()
+        self.malformed_requests = RateLimitedLog("request_malformed")
+        self._adoption_ends_at_ms = engine.now() + ADOPTION_WINDOW_MS
+
+    def validate(self, request_line: RequestLine) -> None:
+        """Raise RequestLineError for a line that is well-formed, and yet comes from no client now."""
+        if request_line.id in self.open_request_ids:
+            raise RequestLineError(f"id {request_line.id} is open", field="id", value=request_line.id)
+        endpoint_id = request_line.adopted_endpoint_id
+        if endpoint_id is None:
+            # The platform sends new requests only once all connections that were open before are back.
+            self._adoption_ends_at_ms = 0.0
+        elif self.engine.now() >= self._adoption_ends_at_ms or not self.watcher.address(endpoint_id):
+            reason = f"no connection to adopt at {endpoint_id[:MAX_SHOWN_CHARACTERS]}"
+            raise RequestLineError(reason, field="at", value=endpoint_id)
 
 
 async def serve_connection(frontend: LineFrontend, client: LineStream) -> None:
-    """Read, place, relay or answer. Exactly one final answer goes out for each request line."""
-    with frontend.descriptor_limit.acquire() as room:
-        if not room:
-            return await frontend.connection_shutdown.send_answer(client, Reject(None, FULL_MS))
-        try:
-            request_line = None
-            with frontend.connection_shutdown.idle() as scope:
-                request_line = await read_request_line(client, frontend.names, frontend.longest)
-            if request_line is None:
-                return await frontend.connection_shutdown.close_idle(client, scope)
-            if client.has_buffered_input:  # a client waits for its answer
-                raise RequestLineError("more than one command")
-            frontend.check(request_line)
-        except (LineError, RequestLineError) as error:
-            frontend.malformed.count(str(error))
-            return await frontend.connection_shutdown.send_answer(client, Fail(None))
-        except trio.BrokenResourceError:
+    """Serve one client connection: read its request line, place the request, then relay or answer."""
+    with frontend.descriptor_limit.acquire() as has_client_descriptor:
+        if not has_client_descriptor:
+            await frontend.connection_shutdown.send_answer(client, REJECT_WITHOUT_DESCRIPTOR)
+            return
+        request_line = await _receive_request_line(frontend, client)
+        if request_line is None:
             return
-        with frontend.descriptor_limit.acquire() as room:  # the upstream connection's
-            if not room:
-                return await frontend.connection_shutdown.send_answer(client, Reject(None, FULL_MS))
+        with frontend.descriptor_limit.acquire() as has_upstream_descriptor:
+            if not has_upstream_descriptor:
+                await frontend.connection_shutdown.send_answer(client, REJECT_WITHOUT_DESCRIPTOR)
+                return
             await _serve_request(frontend, client, request_line)
 
 
+async def _receive_request_line(frontend: LineFrontend, client: LineStream) -> RequestLine | None:
+    """Return a valid request line; None if there is none, and then the client has its answer."""
+    try:
+        request_line = None
+        with frontend.connection_shutdown.idle() as idle_scope:
+            request_line = await read_request_line(client, frontend.names, frontend.max_patience_ms)
+        if request_line is None:
+            await frontend.connection_shutdown.close_idle(client, idle_scope)
+            return None
+        if client.has_buffered_input:
+            # Clients wait for their answer. Checked before `validate`, which ends the time for adoptions.
+            raise RequestLineError("more than one command")
+        frontend.validate(request_line)
+    except (LineError, RequestLineError) as error:
+        frontend.malformed_requests.count(str(error))
+        await frontend.connection_shutdown.send_answer(client, Fail(request_id=None))
+        return None
+    except trio.BrokenResourceError:
+        return None
+    return request_line
+
+
 async def _serve_request(frontend: LineFrontend, client: LineStream, request_line: RequestLine) -> None:
-    handle = _request_handle(frontend.engine, request_line)
-    frontend.ids.add(request_line.id)
+    handle = _register_request(frontend.engine, request_line)
+    frontend.open_request_ids.add(request_line.id)
     try:
-        result = await _placed(frontend, client, handle, request_line)
-        if isinstance(result, EstablishedUpstream):
-            log.info(
-                "rpc-up id=%s request=%d group=%x server=%s attempts=%d stood=%s",
-                request_line.id,
-                handle.id,
-                request_line.affinity_group or 0,
-                handle.endpoint_id,
-                handle.attempt + 1,
-                request_line.stands_at is not None,
-            )
-            relay = Relay(handle, client, result.stream)
-            with frontend.connection_shutdown.cancelled_at_shutdown() as scope:
-                await relay.run(result.receipt)
-            await frontend.connection_shutdown.close_relayed(
-                client, move=relay.owes_move(scope.cancelled_caught)
-            )
-        elif result is not None:
-            answer = "Refuse" if isinstance(result, Reject) else "Fail"  # the log's words
-            log.info(
-                "rpc-unavailable id=%s class=%s answer=%s",
-                request_line.id,
-                request_line.request_class,
-                answer,
-            )
-            await frontend.connection_shutdown.send_answer(client, result)
+        outcome = await _place_while_client_waits(frontend, client, handle, request_line)
+        if isinstance(outcome, EstablishedUpstream):
+            await _relay_connection(frontend, client, handle, request_line, outcome)
+        elif outcome is not None:
+            await _answer_unserved(frontend, client, request_line, outcome)
     finally:
-        frontend.ids.discard(request_line.id)
+        frontend.open_request_ids.discard(request_line.id)
         handle.close()
 
 
-def _request_handle(engine: Engine, request_line: RequestLine) -> RequestHandle:
-    about = {
-        "tenant": request_line.tenant,
-        "client_key": request_line.client_key,
-        "affinity_group": request_line.affinity_group,
-    }
-    if request_line.stands_at is not None:
-        return engine.adopt(request_line.stands_at, request_line.request_class, **about)  # type: ignore[arg-type]
+def _register_request(engine: Engine, request_line: RequestLine) -> RequestHandle:
+    if request_line.adopted_endpoint_id is not None:
+        return engine.adopt(
+            request_line.adopted_endpoint_id,
+            request_line.request_class,
+            tenant=request_line.tenant,
+            client_key=request_line.client_key,
+            affinity_group=request_line.affinity_group,
+        )
     return engine.submit(
         request_line.request_class,
-        engine.now() + request_line.patience_ms - MARGIN_MS,
+        engine.now() + request_line.patience_ms - ANSWER_MARGIN_MS,
+        tenant=request_line.tenant,
+        client_key=request_line.client_key,
+        affinity_group=request_line.affinity_group,
         load=request_line.load,
         is_retry=request_line.is_retry,
         is_reconnect=request_line.is_reconnect,
-        **about,  # type: ignore[arg-type]
     )
 
 
-async def _placed(
+@dataclass(slots=True)
+class _Placement:
+    """How far placing a request has come.
+
+    It outlives the nursery that fills it: a shutdown may cancel that nursery after a server has taken the
+    connection, and the outcome must not be lost with it.
+    """
+
+    # None: not known yet.
+    outcome: EstablishedUpstream | Reject | Fail | None = None
+
+    # The client has sent something more, although it has no answer yet.
+    client_sent_input: bool = False
+
+
+async def _place_while_client_waits(
     frontend: LineFrontend, client: LineStream, handle: RequestHandle, request_line: RequestLine
 ) -> EstablishedUpstream | Reject | Fail | None:
-    """Places the RPC while its client stays and waits; None if it left. At the balancer's end an attempt that
-    is out ends, and the module says what its client is told."""
-    result: EstablishedUpstream | Reject | Fail | None = None
-    early = False
-    stage = place if request_line.stands_at is None else rejoin
+    """Place the request; None if its client left meanwhile. A shutdown ends the attempt that is out."""
+    placement = _Placement()
     try:
-        with frontend.connection_shutdown.cancelled_at_shutdown() as scope:
-            async with trio.open_nursery() as nursery:
-
-                async def until_input() -> None:
-                    nonlocal early
-                    early = await client.wait_for_input()
-                    nursery.cancel_scope.cancel()
-
-                nursery.start_soon(until_input)
-                result = await stage(
-                    frontend.engine, frontend.watcher, handle, request_line, frontend.connect_timeout
-                )
-                nursery.cancel_scope.cancel()
-        if scope.cancelled_caught and result is None:
+        with frontend.connection_shutdown.cancelled_at_shutdown() as shutdown_scope:
+            await _race_placement_with_client(frontend, client, handle, request_line, placement)
+        if shutdown_scope.cancelled_caught and placement.outcome is None:
             return handle.withdraw()
-    except Exception:  # guards the final answer: whatever broke, the client is told
-        log.exception("rpc-error id=%s", request_line.id)
-        result = Fail(handle.id)
+    except Exception:  # Whatever broke, the client is owed its one final answer.
+        log.exception("request_error id=%s", request_line.id)
+        placement.outcome = Fail(handle.id)
         handle.report_ended(AttemptStatus.ERROR, closed=True)
-    if result is None:
-        if early:  # guards the server against commands that are no lines of a connection that stands
-            frontend.malformed.count("a command before the answer to the first")
-            result = Fail(handle.id)
-        log.info("rpc-left id=%s request=%d attempts=%d", request_line.id, handle.id, handle.attempt + 1)
-        handle.report_client_disconnected()
-        handle.report_ended(AttemptStatus.CANCELLED, closed=True)
-    return result
+    if placement.outcome is None:
+        return _abandon_placement(frontend, handle, request_line, placement.client_sent_input)
+    return placement.outcome
+
+
+async def _race_placement_with_client(
+    frontend: LineFrontend,
+    client: LineStream,
+    handle: RequestHandle,
+    request_line: RequestLine,
+    placement: _Placement,
+) -> None:
+    """Place the request until that ends, or until its client leaves or sends more."""
+
+    async def cancel_on_client_input() -> None:
+        placement.client_sent_input = await client.wait_for_input()
+        nursery.cancel_scope.cancel()
+
+    place_request = place if request_line.adopted_endpoint_id is None else rejoin
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cancel_on_client_input)
+        placement.outcome = await place_request(
+            frontend.engine, frontend.watcher, handle, request_line, frontend.connect_timeout_ms
+        )
+        nursery.cancel_scope.cancel()
+
+
+def _abandon_placement(
+    frontend: LineFrontend, handle: RequestHandle, request_line: RequestLine, client_sent_input: bool
+) -> Fail | None:
+    """End a request whose client did not wait for the answer; return the answer to a client that is there."""
+    answer = None
+    if client_sent_input:
+        # Input before the answer is no line of an established connection, and must not reach a server.
+        frontend.malformed_requests.count("a command before the answer to the first")
+        answer = Fail(handle.id)
+    log.info(
+        "client_disconnected id=%s request=%d attempts=%d", request_line.id, handle.id, handle.attempt + 1
+    )
+    # The first drops a request that still waits for an attempt; the second ends the attempt that is out.
+    handle.report_client_disconnected()
+    handle.report_ended(AttemptStatus.CANCELLED, closed=True)
+    return answer
+
+
+async def _relay_connection(
+    frontend: LineFrontend,
+    client: LineStream,
+    handle: RequestHandle,
+    request_line: RequestLine,
+    established: EstablishedUpstream,
+) -> None:
+    log.info(
+        "connection_established id=%s request=%d group=%x endpoint=%s attempts=%d adopted=%s",
+        request_line.id,
+        handle.id,
+        request_line.affinity_group or 0,
+        handle.endpoint_id,
+        handle.attempt + 1,
+        request_line.adopted_endpoint_id is not None,
+    )
+    relay = Relay(handle, client, established.stream)
+    with frontend.connection_shutdown.cancelled_at_shutdown() as shutdown_scope:
+        await relay.run(established.receipt_line)
+    owes_move = relay.owes_move(ended_by_shutdown=shutdown_scope.cancelled_caught)
+    await frontend.connection_shutdown.close_relayed(client, owes_move=owes_move)
+
+
+async def _answer_unserved(
+    frontend: LineFrontend, client: LineStream, request_line: RequestLine, answer: Reject | Fail
+) -> None:
+    event = "request_rejected" if isinstance(answer, Reject) else "request_failed"
+    log.info("%s id=%s class=%s", event, request_line.id, request_line.request_class)
+    await frontend.connection_shutdown.send_answer(client, answer)
--- a/walkloom/frontends/line/upstream.py
+++ b/walkloom/frontends/line/upstream.py
@@ -1,4 +1,4 @@
-"""Stage 3: connects one attempt to an upstream connection, and maps what comes back to its outcome."""
+"""Stage 5: make one attempt at one server, and map what comes back to its outcome."""
 
 from __future__ import annotations
 
@@ -13,18 +13,31 @@
 from walkloom.transport.line_stream import LineError, LineStream, first_word, open_line_stream
 
 log = logging.getLogger("walkloom")
-_OUTCOMES = {
+
+# The first word of the line with which a server takes a connection.
+UP = b"UP"
+
+# The other first words of a server's answer (page "Protocol", "Balancers to tile servers").
+STATUS_BY_WORD = {
     b"BYE": AttemptStatus.OK,
     b"MOVE": AttemptStatus.CANCELLED,
     b"ERR": AttemptStatus.ERROR,
     b"BUSY": AttemptStatus.AT_CAPACITY,
 }
 
+# How much of a line outside the protocol is logged, bytes.
+MAX_LOGGED_BYTES = 80
+
 
 @dataclass(frozen=True, slots=True)
 class EstablishedUpstream:
+    """A connection that a server has taken."""
+
+    # The connection to the server, behind the receipt line.
     stream: LineStream
-    receipt: bytes
+
+    # The server's whole `UP RECEIPT` line; the client must get it unchanged.
+    receipt_line: bytes
 
 
 async def start_attempt(
@@ -32,47 +45,87 @@
     handle: RequestHandle,
     request_line: RequestLine,
     address: tuple[str, int] | None,
-    until: float,
-    setup: float,
+    give_up_at_ms: float,
+    connect_timeout_ms: float,
 ) -> EstablishedUpstream | AttemptStatus:
-    """One attempt, from its connection to its first answer; whatever did not come up is closed on return."""
+    """Connect to a server, send it the request line, and wait for its first answer.
+
+    A connection that was not established is closed on return. `address` is None for a server that is no
+    longer listed; `give_up_at_ms`, a time of the engine's clock, bounds the attempt as a whole.
+    """
     if address is None:
         return AttemptStatus.CONNECT_FAILED
-    upstream: LineStream | None = None
-    up = False
+    timeout_ms = min(connect_timeout_ms, max(give_up_at_ms - engine.now(), 0.0))
     try:
-        with trio.move_on_after(min(setup, max(until - engine.now(), 0.0)) / 1000.0):
-            upstream = await open_line_stream(address)
-        if upstream is None:
-            return AttemptStatus.CONNECT_FAILED
-        left = until - engine.now()
-        # connecting took time in which the deadline may have passed
-        if left <= 0 or not (handle.is_established or handle.may_start_sending()):
-            return AttemptStatus.NOT_SENT
-        try:
-            await upstream.send(request_line.for_upstream(left))
-        except trio.BrokenResourceError:
-            return AttemptStatus.CONNECT_FAILED
-        with trio.move_on_after(left / 1000.0):
-            line = await upstream.read_line()
-            if first_word(line) == b"UP":
-                up = True
-                return EstablishedUpstream(upstream, line)
-            if line and first_word(line) not in _OUTCOMES:
-                log.warning("subchannel-odd server=%s line=%r", handle.endpoint_id, line[:80])
-            return (
-                _OUTCOMES.get(first_word(line), AttemptStatus.ERROR)
-                if line
-                else AttemptStatus.CONNECTION_RESET
-            )
-        return AttemptStatus.TIMED_OUT
-    except OSError as error:  # guards a sound server against blame for our lack of a descriptor
-        log.error("attempt-unsent server=%s error=%r", handle.endpoint_id, str(error))
+        upstream = await _connect(address, timeout_ms)
+    except OSError as error:
+        # This process lacks a descriptor: with CONNECT_FAILED the policy would blame a sound server.
+        log.error("attempt_not_sent endpoint=%s error=%r", handle.endpoint_id, str(error))
+        return AttemptStatus.NOT_SENT
+    if upstream is None:
+        return AttemptStatus.CONNECT_FAILED
+    is_established = False
+    try:
+        outcome = await _send_request(engine, handle, request_line, upstream, give_up_at_ms)
+        is_established = isinstance(outcome, EstablishedUpstream)
+        return outcome
+    finally:
+        # Also when cancelled, and before the next attempt goes out: two must never be out at once.
+        if not is_established:
+            await upstream.close()
+
+
+async def _connect(address: tuple[str, int], timeout_ms: float) -> LineStream | None:
+    with trio.move_on_after(timeout_ms / 1000.0):
+        return await open_line_stream(address)
+    return None
+
+
+async def _send_request(
+    engine: Engine,
+    handle: RequestHandle,
+    request_line: RequestLine,
+    upstream: LineStream,
+    give_up_at_ms: float,
+) -> EstablishedUpstream | AttemptStatus:
+    # Connecting took time: the deadline may have passed, a drain been told, or the deduplication window
+    # closed. The policy is therefore asked once more, as late as possible.
+    remaining_ms = give_up_at_ms - engine.now()
+    if remaining_ms <= 0:
+        return AttemptStatus.NOT_SENT
+    if not handle.is_established and not handle.may_start_sending():
         return AttemptStatus.NOT_SENT
+    try:
+        await upstream.send(request_line.for_upstream(remaining_ms))
+    except trio.BrokenResourceError:
+        # The line's last byte was not written, so that the server cannot have run it.
+        return AttemptStatus.CONNECT_FAILED
+    return await _read_answer(handle, upstream, remaining_ms)
+
+
+async def _read_answer(
+    handle: RequestHandle, upstream: LineStream, timeout_ms: float
+) -> EstablishedUpstream | AttemptStatus:
+    try:
+        with trio.move_on_after(timeout_ms / 1000.0):
+            line = await upstream.read_line()
+            return _decode_answer(handle, upstream, line)
     except LineError:
         return AttemptStatus.ERROR
     except trio.BrokenResourceError:
         return AttemptStatus.CONNECTION_RESET
-    finally:
-        if upstream and not up:  # closed before the next attempt goes out: never two at once
-            await upstream.close()
+    return AttemptStatus.TIMED_OUT
+
+
+def _decode_answer(
+    handle: RequestHandle, upstream: LineStream, line: bytes
+) -> EstablishedUpstream | AttemptStatus:
+    if not line:
+        return AttemptStatus.CONNECTION_RESET
+    word = first_word(line)
+    if word == UP:
+        return EstablishedUpstream(stream=upstream, receipt_line=line)
+    if word not in STATUS_BY_WORD:
+        log.warning("upstream_line_unknown endpoint=%s line=%r", handle.endpoint_id, line[:MAX_LOGGED_BYTES])
+        return AttemptStatus.ERROR
+    return STATUS_BY_WORD[word]
