--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -1,4 +1,4 @@
-"""Random clients and servers against a whole balancer, with lists, moves, few descriptors and a planned stop.
+"""Random clients and servers against a whole balancer, with updates, migrations, few descriptors, a shutdown.
 
 Seeds are fixed, and time is the mock clock's: what these runs once found has a test of its own elsewhere.
 """
@@ -14,207 +14,307 @@
 import trio
 
 from tests import scenario
-from tests.frontends.line.test_frontend import FLOOD, NAMES, LinePeer
+from tests.frontends.line.harness import FLOOD_LINE, NAMES, LinePeer
 from walkloom.config import Config
 from walkloom.messages import Endpoint, Idempotency, Lifecycle, MigrateConnection, RequestClass, UpdateKind
 from walkloom.server import BalancerServer
 
-CLIENTS, LAST_S = 40, 3.7  # SIGKILL comes so long after SIGTERM
-SLACK_S = 0.05  # of every time on sockets
+CLIENT_COUNT = 40
+SERVER_NAMES = "abc"
+
+# SIGKILL comes so long after SIGTERM.
+SIGKILL_AFTER_S = 3.7
+
+# Slack of every time on sockets.
+SLACK_S = 0.05
+
+# How long after its client has left a request may still come to a server.
+CLIENT_LEFT_SLACK_S = 0.3
+
+# As in the scenarios' settings.
+MAX_ATTEMPTS = 3
+
+# What a server answers to a request: lines, half a line, an end, or nothing.
+HALF_RECEIPT = "UP 7"
+RECEIPT = "UP 1"
+SERVER_ANSWERS = [
+    *[RECEIPT] * 9,
+    "BUSY",
+    "BUSY",
+    "ERR",
+    HALF_RECEIPT,
+    "x" * 5000,
+    r"BUSY\r\nUP 3",
+    "close",
+    "reset",
+    "",
+]
+SERVER_ANSWER_DELAYS_S = [0, 0, 0, 0.01, 0.05, 0.3, 0.6, 1.5]
+
+# How a server ends a connection that it has taken.
+HALF_LINE = "M 1 ha"
+SERVER_LAST_LINES = ["BYE", "MOVE", "reset", HALF_LINE, ""]
 
 
 class Record:
-    """What crossed the sockets, and what broke a rule."""
+    """What crossed the sockets, and which rules were broken."""
 
     def __init__(self) -> None:
-        self.opened = defaultdict[str, list[float]](list)  # when each attempt of an id came to a server,
-        self.ended = defaultdict[str, list[float]](list)  # and when its connection ended
-        self.left: dict[str, float] = {}
-        self.broken: list[str] = []
-
-    def check(self) -> list[str]:
-        for rid, opened in self.opened.items():
-            ended = [*self.ended[rid], *[math.inf] * (len(opened) - len(self.ended[rid]))]
-            if len(opened) > 3:
-                self.broken.append(f"{rid}: {len(opened)} attempts")
-            if any(later < before for before, later in zip(ended, opened[1:], strict=False)):
-                self.broken.append(f"{rid}: two attempts at once")
-            if opened[-1] > self.left.get(rid, math.inf) + 0.3:
-                self.broken.append(f"{rid}: sent on after its client had left")
-        return self.broken
-
-
-async def serve(rnd: Random, record: Record, stream: trio.SocketStream) -> None:
-    """A tile server's connection: an answer of any kind, some lines, an end of any kind."""
-    peer, rid = LinePeer(stream), ""
-    put, lines = trio.open_memory_channel[str](math.inf)
-
-    async def read(scope: trio.CancelScope) -> None:
-        with suppress(trio.ClosedResourceError):  # this side has reset it
-            while (got := await peer.receive()) not in ("EOF", "RESET"):
-                put.send_nowait(got)
+        # By the id on the wire: when each attempt came to a server, and when its connection ended.
+        self.attempts_started = defaultdict[str, list[float]](list)
+        self.attempts_ended = defaultdict[str, list[float]](list)
+        self.clients_left: dict[str, float] = {}
+        self.violations: list[str] = []
+
+    def find_violations(self) -> list[str]:
+        for request_id, started in self.attempts_started.items():
+            ended = self.attempts_ended[request_id]
+            still_open = [math.inf] * (len(started) - len(ended))
+            ended = [*ended, *still_open]
+            if len(started) > MAX_ATTEMPTS:
+                self.violations.append(f"{request_id}: {len(started)} attempts")
+            if any(later < before for before, later in zip(ended, started[1:], strict=False)):
+                self.violations.append(f"{request_id}: two attempts at once")
+            if started[-1] > self.clients_left.get(request_id, math.inf) + CLIENT_LEFT_SLACK_S:
+                self.violations.append(f"{request_id}: sent on after its client had left")
+        return self.violations
+
+
+class RandomServerConnection:
+    """One connection at a server: an answer of any kind, some lines, an end of any kind."""
+
+    def __init__(self, rng: Random, record: Record, stream: trio.SocketStream) -> None:
+        self._rng = rng
+        self._record = record
+        self._stream = stream
+        self._peer = LinePeer(stream)
+        # Of the request that came; empty for a poll of the load report.
+        self._request_id = ""
+        self._put_line, self._lines = trio.open_memory_channel[str](math.inf)
+
+    async def serve(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read, nursery.cancel_scope)
+            nursery.start_soon(self._speak_until_broken)
+        if self._request_id:
+            self._record.attempts_ended[self._request_id].append(trio.current_time())
+        await trio.aclose_forcefully(self._stream)
+
+    async def _read(self, scope: trio.CancelScope) -> None:
+        # Closed: this side has reset it.
+        with suppress(trio.ClosedResourceError):
+            while (line := await self._peer.receive()) not in ("EOF", "RESET"):
+                self._put_line.send_nowait(line)
         scope.cancel()
 
-    async def speak() -> None:
-        nonlocal rid
-        line = await lines.receive()
-        if not line.startswith("OPEN"):  # a probe: nobody answers
-            return
-        rid = line.split()[1]
-        record.opened[rid].append(trio.current_time())
-        await trio.sleep(rnd.choice([0, 0, 0, 0.01, 0.05, 0.3, 0.6, 1.5]))
-        answers = [
-            *["UP 1"] * 8,
-            "UP 1",
-            "BUSY",
-            "BUSY",
-            "ERR",
-            "UP 7",
-            "x" * 5000,
-            r"BUSY\r\nUP 3",
-            "close",
-            "reset",
-            "",
-        ]
-        answer = rnd.choice(answers)
-        if answer in ("close", "reset"):
-            return await (peer.close if answer == "close" else peer.reset)()
-        await (peer.part if answer == "UP 7" else peer.send)(answer)
-        until = trio.current_time() + rnd.uniform(0, 6)
-        while answer == "UP 1" and trio.current_time() < until:
-            with trio.move_on_after(rnd.uniform(0.4, 2)):
-                await peer.send(await lines.receive() + " ok")
-            for _ in range(rnd.choice([0] * 30 + [400])):
-                await peer.send(FLOOD)
-        last = rnd.choice(["BYE", "MOVE", "reset", "M 1 ha", ""])
-        if last == "reset":
-            await peer.reset()
-        elif last:
-            await (peer.part if last == "M 1 ha" else peer.send)(last)
-            await peer.close()
-
-    async def speak_on() -> None:
+    async def _speak_until_broken(self) -> None:
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            await speak()
+            await self._speak()
 
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(read, nursery.cancel_scope)
-        nursery.start_soon(speak_on)
-    if rid:
-        record.ended[rid].append(trio.current_time())
-    await trio.aclose_forcefully(stream)
+    async def _speak(self) -> None:
+        line = await self._lines.receive()
+        # Nobody answers a poll.
+        if not line.startswith("OPEN"):
+            return
+        self._request_id = line.split()[1]
+        self._record.attempts_started[self._request_id].append(trio.current_time())
+        await trio.sleep(self._rng.choice(SERVER_ANSWER_DELAYS_S))
+        answer = self._rng.choice(SERVER_ANSWERS)
+        if answer == "close":
+            await self._peer.close()
+        elif answer == "reset":
+            await self._peer.reset()
+        else:
+            await self._send(answer, is_part=answer == HALF_RECEIPT)
+            await self._return_lines(is_established=answer == RECEIPT)
+            await self._end()
 
+    async def _send(self, text: str, is_part: bool) -> None:
+        if is_part:
+            await self._peer.part(text)
+        else:
+            await self._peer.send(text)
+
+    async def _return_lines(self, is_established: bool) -> None:
+        end_at = trio.current_time() + self._rng.uniform(0, 6)
+        while is_established and trio.current_time() < end_at:
+            with trio.move_on_after(self._rng.uniform(0.4, 2)):
+                await self._peer.send(await self._lines.receive() + " ok")
+            for _ in range(self._rng.choice([0] * 30 + [400])):
+                await self._peer.send(FLOOD_LINE)
+
+    async def _end(self) -> None:
+        last_line = self._rng.choice(SERVER_LAST_LINES)
+        if last_line == "reset":
+            await self._peer.reset()
+        elif last_line:
+            await self._send(last_line, is_part=last_line == HALF_LINE)
+            await self._peer.close()
 
-async def call(rnd: Random, record: Record, address: tuple[str, int], number: int) -> None:
+
+class RandomClient:
     """A client that comes some time, in pieces or at once, and may leave before its answer or after."""
-    await trio.sleep(rnd.uniform(0, 9))
-    try:
-        peer = LinePeer(await trio.open_tcp_stream(*address))
-    except OSError:  # the balancer has left
-        return
-    rid, patience = f"{number:x}", rnd.choice([50, 300, 1000, 2000, 3000])
-    line = f"OPEN {rid} 7f c=chat,t=acme,d={patience},g={rnd.randrange(1, 4)}"
-    leave = peer.close if rnd.random() < 0.5 else peer.reset
-    try:
-        with suppress(trio.BrokenResourceError):  # closed, and told so, before its request is whole
-            if cut := rnd.choice([0, 0, 0, 9]):
-                await peer.part(line[:cut])
-                await trio.sleep(rnd.uniform(0, 2.2))
-            await peer.send(line[cut:])
-        sent = trio.current_time()
-        with trio.move_on_after(rnd.choice([math.inf] * 6 + [0, 0.01, 0.05, 0.3, 1.0])) as early:
-            got = await peer.receive()
-        if early.cancelled_caught:
-            record.left[rid] = trio.current_time()
-            return await leave()
-        if got in ("EOF", "RESET"):
-            record.broken.append(f"{rid}: {got} for an answer")
-        if trio.current_time() > sent + patience / 1000.0 + SLACK_S:
-            record.broken.append(f"{rid}: answered late")
-        until = trio.current_time() + rnd.uniform(0, 5)
-        while got not in ("EOF", "RESET", "MOVE", "BYE") and trio.current_time() < until:
-            await peer.send("M 1")
-            await trio.sleep(rnd.uniform(0.3, 2))
-            with trio.move_on_after(rnd.uniform(0.1, 0.5)):
-                got = await peer.receive()
+
+    def __init__(self, rng: Random, record: Record, number: int) -> None:
+        self._rng = rng
+        self._record = record
+        self._request_id = f"{number:x}"
+
+    async def run(self, address: tuple[str, int]) -> None:
+        await trio.sleep(self._rng.uniform(0, 9))
+        try:
+            peer = LinePeer(await trio.open_tcp_stream(*address))
+        except OSError:
+            # The balancer has exited.
+            return
+        try:
+            await self._call(peer)
+        except trio.BrokenResourceError:
+            # It was established, and ended as the client was to send.
+            pass
+        finally:
+            await peer.lines.close()
+
+    async def _call(self, peer: LinePeer) -> None:
+        patience_ms = self._rng.choice([50, 300, 1000, 2000, 3000])
+        group = self._rng.randrange(1, 4)
+        request_line = f"OPEN {self._request_id} 7f c=chat,t=acme,d={patience_ms},g={group}"
+        leave = peer.close if self._rng.random() < 0.5 else peer.reset
+        await self._send_request(peer, request_line)
+        sent_at = trio.current_time()
+        with trio.move_on_after(self._rng.choice([math.inf] * 6 + [0, 0.01, 0.05, 0.3, 1.0])) as patience:
+            answer = await peer.receive()
+        if patience.cancelled_caught:
+            self._record.clients_left[self._request_id] = trio.current_time()
+            await leave()
+            return
+        if answer in ("EOF", "RESET"):
+            self._record.violations.append(f"{self._request_id}: {answer} for an answer")
+        if trio.current_time() > sent_at + patience_ms / 1000.0 + SLACK_S:
+            self._record.violations.append(f"{self._request_id}: answered late")
+        await self._send_lines(peer, answer)
         await leave()
-    except trio.BrokenResourceError:
-        pass  # it stood, and ended as it was to speak
-    finally:
-        await peer.lines.close()
 
+    async def _send_request(self, peer: LinePeer, request_line: str) -> None:
+        # Broken: the balancer has answered and closed before the request line was whole.
+        with suppress(trio.BrokenResourceError):
+            cut = self._rng.choice([0, 0, 0, 9])
+            if cut:
+                await peer.part(request_line[:cut])
+                await trio.sleep(self._rng.uniform(0, 2.2))
+            await peer.send(request_line[cut:])
 
-async def trouble(rnd: Random, server: BalancerServer) -> None:
+    async def _send_lines(self, peer: LinePeer, line: str) -> None:
+        end_at = trio.current_time() + self._rng.uniform(0, 5)
+        while line not in ("EOF", "RESET", "MOVE", "BYE") and trio.current_time() < end_at:
+            await peer.send("M 1")
+            await trio.sleep(self._rng.uniform(0.3, 2))
+            with trio.move_on_after(self._rng.uniform(0.1, 0.5)):
+                line = await peer.receive()
+
+
+async def change_endpoints_and_migrate(rng: Random, server: BalancerServer) -> None:
+    """Send the engine endpoint list updates of any kind, and migrate all connections now and then."""
     engine = server.engine
     for _ in range(8):
-        await trio.sleep(rnd.uniform(0, 1.5))
-        since = rnd.choice([0.0, engine.now()])
-        one = Endpoint(rnd.choice("abc"), lifecycle=rnd.choice(list(Lifecycle)), started_at=since)
-        kind = rnd.choice([UpdateKind.INCREMENTAL, UpdateKind.SNAPSHOT, None])
+        await trio.sleep(rng.uniform(0, 1.5))
+        started_at = rng.choice([0.0, engine.now()])
+        changed = Endpoint(
+            rng.choice(SERVER_NAMES), lifecycle=rng.choice(list(Lifecycle)), started_at=started_at
+        )
+        kind = rng.choice([UpdateKind.INCREMENTAL, UpdateKind.SNAPSHOT, None])
         if kind is None:
-            for handle in [t for t in engine._handles.values() if t.is_established]:
+            for handle in [handle for handle in engine._handles.values() if handle.is_established]:
                 engine._act(MigrateConnection(handle.id))
+        elif kind is UpdateKind.SNAPSHOT:
+            engine.endpoint_list_received(kind, [Endpoint(name) for name in SERVER_NAMES])
         else:
-            engine.endpoint_list_received(
-                kind, [Endpoint(x) for x in "abc"] if kind is UpdateKind.SNAPSHOT else [one]
-            )
+            engine.endpoint_list_received(kind, [changed])
+
+
+async def start_random_servers(rng: Random, record: Record, world: scenario.World) -> bytes:
+    """Start the servers; return the endpoint list that names them."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await RandomServerConnection(rng, record, stream).serve()
+
+    entries = []
+    for name in SERVER_NAMES:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        world.nursery.start_soon(trio.serve_listeners, serve, [listener])
+        port = listener.socket.getsockname()[1]
+        entries.append(f'{{"instanceId":"{name}","hostPort":"127.0.0.1:{port}","lifecycle":"up"}}')
+    return f'{{"generation":1,"reset":true,"instances":[{",".join(entries)}]}}'.encode()
+
+
+async def play(rng: Random, record: Record, world: scenario.World, config: Config) -> BalancerServer:
+    """Run a whole balancer with its clients, shut it down at some time, and return it after its end."""
+    process_scope = trio.CancelScope()
+    exited = trio.Event()
+
+    async def run_server(task_status: trio.TaskStatus[BalancerServer]) -> None:
+        with process_scope:
+            await BalancerServer.serve(config, None, task_status)
+        exited.set()
+
+    server: BalancerServer = await world.nursery.start(run_server)
+    async with trio.open_nursery() as nursery:
+        for number in range(1, CLIENT_COUNT + 1):
+            nursery.start_soon(RandomClient(rng, record, number).run, server.address)
+        nursery.start_soon(change_endpoints_and_migrate, rng, server)
+        await trio.sleep(rng.uniform(3, 11))
+        terminated_at = trio.current_time()
+        await server.shut_down()
+        process_scope.cancel()
+        await exited.wait()
+        assert trio.current_time() < terminated_at + SIGKILL_AFTER_S
+    return server
+
+
+def assert_nothing_kept(server: BalancerServer) -> None:
+    balancer = server.engine._balancer
+    assert server.engine.idle
+    assert not (balancer.requests or balancer.held or balancer.asking)
+    assert not any(endpoint.conns for endpoint in balancer.servers.values())
 
 
 @pytest.mark.parametrize("seed", [3, 21, 48, 187, 191, 341])
 def test_no_rule_breaks_whatever_crosses(seed: int) -> None:
-    rnd, record = Random(seed), Record()
-
-    async def world_of(world: scenario.World) -> None:
-        async def take(stream: trio.SocketStream) -> None:
-            await serve(rnd, record, stream)
-
-        known = []
-        for name in "abc":
-            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            world.nursery.start_soon(trio.serve_listeners, take, [listener])
-            port = listener.socket.getsockname()[1]
-            known.append(f'{{"instanceId":"{name}","hostPort":"127.0.0.1:{port}","lifecycle":"up"}}')
-        conf = Config(
-            "n0", ("127.0.0.1", 0), ("127.0.0.1", 1), seed, rnd.choice([40, 1024]),
-            f'{{"generation":1,"reset":true,"instances":[{",".join(known)}]}}'.encode(),
-            world.engine.settings, NAMES, ("x0",), rnd.choice([60.0, 1000.0]), 3000.0,
-        )  # fmt: skip
-        scope, gone = trio.CancelScope(), trio.Event()
-
-        async def run(task_status: trio.TaskStatus[BalancerServer]) -> None:
-            with scope:
-                await BalancerServer.serve(conf, None, task_status)
-            gone.set()
-
-        server: BalancerServer = await world.nursery.start(run)
-        async with trio.open_nursery() as nursery:
-            for number in range(1, CLIENTS + 1):
-                nursery.start_soon(call, rnd, record, server.address, number)
-            nursery.start_soon(trouble, rnd, server)
-            await trio.sleep(rnd.uniform(3, 11))
-            told_at = trio.current_time()
-            await server.shut_down()
-            scope.cancel()
-            await gone.wait()
-            assert trio.current_time() < told_at + LAST_S
-        balancer = server.engine._balancer
-        assert server.engine.idle and not (balancer.requests or balancer.held or balancer.asking)
-        assert not any(s.conns for s in balancer.servers.values())
-
-    effect = rnd.choice(list(Idempotency))
-    kind = RequestClass(
-        latency_objective_ms=rnd.choice([100.0, 500.0]),
-        idempotency=effect,
-        deduplication_window_ms=rnd.choice([100.0, 5000.0]),
+    rng = Random(seed)
+    record = Record()
+
+    async def build(world: scenario.World) -> None:
+        known_endpoints = await start_random_servers(rng, record, world)
+        config = Config(
+            name="n0",
+            listen=("127.0.0.1", 0),
+            discovery=("127.0.0.1", 1),
+            seed=seed,
+            sockets=rng.choice([40, 1024]),
+            known=known_endpoints,
+            settings=world.engine.settings,
+            names=NAMES,
+            fields=("x0",),
+            connect_timeout=rng.choice([60.0, 1000.0]),
+            longest=3000.0,
+        )
+        assert_nothing_kept(await play(rng, record, world, config))
+
+    idempotency = rng.choice(list(Idempotency))
+    request_class = RequestClass(
+        latency_objective_ms=rng.choice([100.0, 500.0]),
+        idempotency=idempotency,
+        deduplication_window_ms=rng.choice([100.0, 5000.0]),
     )
-    asks, probes = rnd.random() < 0.5, rnd.random() < 0.5
+    polls_endpoint_list = rng.random() < 0.5
+    load_reports_available = rng.random() < 0.5
     scenario.run(
         "",
-        world_of,
-        request_classes=(kind,),
-        polls_endpoint_list=asks,
-        load_reports_available=probes,
+        build,
+        request_classes=(request_class,),
+        polls_endpoint_list=polls_endpoint_list,
+        load_reports_available=load_reports_available,
         load_report_load_index=0,
         server_reports_latency=False,
     )
-    assert not record.check()
+    assert not record.find_violations()
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -8,12 +8,21 @@
 import math
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import pytest
 import trio
 
 from tests import scenario
-from tests.frontends.line.test_frontend import NAMES, OPEN, OTHER, UP, LinePeer, build, listen
+from tests.frontends.line.harness import (
+    ESTABLISHED,
+    NAMES,
+    OPEN,
+    OTHER_OPEN,
+    LinePeer,
+    build_frontend,
+    start_servers,
+)
 from walkloom.config import Config
 from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.frontends.line import upstream
@@ -24,201 +33,270 @@
 from walkloom.shutdown import KILL_LONGEST_S, KILL_S, ShutdownSchedule
 from walkloom.transport.line_stream import open_line_stream
 
-UNSAFE = (RequestClass(latency_objective_ms=500.0, idempotency=Idempotency.NOT_IDEMPOTENT),)
-KEYED = (
+NOT_IDEMPOTENT = (RequestClass(latency_objective_ms=500.0, idempotency=Idempotency.NOT_IDEMPOTENT),)
+IDEMPOTENT_WITH_KEY = (
     RequestClass(latency_objective_ms=500.0, idempotency=Idempotency.WITH_KEY, deduplication_window_ms=300.0),
 )
-SHORT = 1100.0  # ms; the longest deadline of settings under 3 s
-WAITS, AGAIN = (x.replace("d=2000", "d=1100") for x in (OPEN, OTHER))
-LAST = OPEN.replace("d=2000", "d=3000")  # its deadline comes after the last answer of a stop
-STANDS = UP.replace("d=2000", "d=1100")
-
-
-def instance(longest: float = 3000.0) -> Callable[[scenario.World], Awaitable[None]]:
-    """A whole balancer before two servers; `term` is its planned stop."""
-
-    async def made(world: scenario.World) -> None:
-        known = await listen(world)
-        conf = Config(
-            "n0", ("127.0.0.1", 0), ("127.0.0.1", 1), 1, 1024, known, world.engine.settings, NAMES, (),
-            world.connect_timeout, longest,
-        )  # fmt: skip
-        scope = trio.CancelScope()
-        gone = trio.Event()
+# The longest deadline of settings that has it under 3 s.
+SHORT_DEADLINE_MS = 1100.0
+OPEN_WITH_SHORT_DEADLINE = OPEN.replace("d=2000", "d=1100")
+OTHER_OPEN_WITH_SHORT_DEADLINE = OTHER_OPEN.replace("d=2000", "d=1100")
+ESTABLISHED_WITH_SHORT_DEADLINE = ESTABLISHED.replace("d=2000", "d=1100")
+# Its deadline comes after the last answer of a shutdown.
+OPEN_WITH_LATE_DEADLINE = OPEN.replace("d=2000", "d=3000")
+
+
+def build_server(longest_deadline_ms: float = 3000.0) -> Callable[[scenario.World], Awaitable[None]]:
+    """Return a builder of a whole balancer before two servers; `terminate` starts its graceful shutdown."""
+
+    async def build(world: scenario.World) -> None:
+        known_endpoints = await start_servers(world)
+        config = Config(
+            name="n0",
+            listen=("127.0.0.1", 0),
+            discovery=("127.0.0.1", 1),
+            seed=1,
+            sockets=1024,
+            known=known_endpoints,
+            settings=world.engine.settings,
+            names=NAMES,
+            fields=(),
+            connect_timeout=world.connect_timeout,
+            longest=longest_deadline_ms,
+        )
+        process_scope = trio.CancelScope()
+        exited = trio.Event()
 
         async def serve(task_status: trio.TaskStatus[BalancerServer]) -> None:
-            with scope:
-                await BalancerServer.serve(conf, None, task_status)
-            gone.set()
+            with process_scope:
+                await BalancerServer.serve(config, None, task_status)
+            exited.set()
 
         server: BalancerServer = await world.nursery.start(serve)
 
-        async def leave() -> None:
-            before = trio.current_time()
+        async def shut_down() -> None:
+            terminated_at_s = trio.current_time()
             await server.shut_down()
-            scope.cancel()
-            await gone.wait()
-            kill = min(longest / 1000.0, KILL_LONGEST_S) + KILL_S
-            assert trio.current_time() - before < kill, "still there at SIGKILL"
+            process_scope.cancel()
+            await exited.wait()
+            sigkill_after_s = min(longest_deadline_ms / 1000.0, KILL_LONGEST_S) + KILL_S
+            assert trio.current_time() - terminated_at_s < sigkill_after_s, "still running at SIGKILL"
 
-        async def dial_it(who: str) -> LinePeer:
+        async def dial(_client: str) -> LinePeer:
             return LinePeer(await trio.open_tcp_stream(*server.address))
 
-        world.dial = dial_it
-
-        async def term(_: str) -> None:
-            world.nursery.start_soon(leave)
+        async def terminate(_arguments: str) -> None:
+            world.nursery.start_soon(shut_down)
 
-        world.verbs["term"] = term
-        world.instance = server  # type: ignore[attr-defined]
-        world.gone = gone  # type: ignore[attr-defined]
+        world.dial = dial
+        world.verbs["terminate"] = terminate
+        world.server = server  # type: ignore[attr-defined]
+        world.exited = exited  # type: ignore[attr-defined]
 
-    return made
+    return build
 
 
-@pytest.mark.parametrize("longest", [50.0, 300.0, SHORT, 3000.0, 8000.0])
-def test_a_planned_stop_keeps_its_time_whatever_the_longest_deadline(longest: float) -> None:
+@pytest.mark.parametrize("longest_deadline_ms", [50.0, 300.0, SHORT_DEADLINE_MS, 3000.0, 8000.0])
+def test_a_graceful_shutdown_ends_before_sigkill_whatever_the_longest_deadline(
+    longest_deadline_ms: float,
+) -> None:
     """SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s where it is longer."""
-    plan, kill = ShutdownSchedule.of(longest), min(longest / 1000.0, 3.0) + 0.7
-    last = plan.migrate_from + plan.migrate_for
-    assert 0.0 < plan.migrate_from < last < plan.answer_by < plan.exit_by < kill
-    assert last > 0.2 and kill - plan.exit_by > 0.05
+    schedule = ShutdownSchedule.of(longest_deadline_ms)
+    sigkill_after_s = min(longest_deadline_ms / 1000.0, 3.0) + 0.7
+    migrate_until = schedule.migrate_from + schedule.migrate_for
+    assert 0.0 < schedule.migrate_from < migrate_until
+    assert migrate_until < schedule.answer_by < schedule.exit_by < sigkill_after_s
+    assert migrate_until > 0.2
+    assert sigkill_after_s - schedule.exit_by > 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownCase:
+    """A script that a graceful shutdown is part of."""
+
+    # From this follows when SIGKILL comes.
+    longest_deadline_ms: float
+
+    script: str
 
+    # Changes of the settings.
+    settings: dict[str, object] = field(default_factory=dict)
 
-STOPS = {
-    "settings with short deadlines: what stands is moved in time": (SHORT, STANDS + """
-        term
+
+SHUTDOWNS = {
+    "settings with short deadlines: what is established is migrated in time": ShutdownCase(
+        longest_deadline_ms=SHORT_DEADLINE_MS,
+        script=ESTABLISHED_WITH_SHORT_DEADLINE
+        + """
+        terminate
         within 1200 c expect MOVE
         c expect EOF
-        s1 expect EOF""", {}),
-    "settings with long deadlines: what stands is moved before SIGKILL at 3.7 s": (8000.0, UP + """
-        term
+        s1 expect EOF""",
+    ),
+    "settings with long deadlines: what is established is migrated before SIGKILL at 3.7 s": ShutdownCase(
+        longest_deadline_ms=8000.0,
+        script=ESTABLISHED
+        + """
+        terminate
         within 3000 c expect MOVE
-        c expect EOF""", {}),
-    "a hung server and a request that may be repeated: refused in time": (SHORT, f"""
-        c send {WAITS}
+        c expect EOF""",
+    ),
+    "a hung server and a request that may be repeated: rejected in time": ShutdownCase(
+        longest_deadline_ms=SHORT_DEADLINE_MS,
+        script=f"""
+        c send {OPEN_WITH_SHORT_DEADLINE}
         s1 expect OPEN*
-        term
+        terminate
         within 1700 c expect BUSY*
         c expect EOF
-        s1 expect EOF""", {}),
-    "a hung server and a request that may not be repeated: failed, not refused": (3000.0, f"""
-        term
+        s1 expect EOF""",
+    ),
+    "a hung server and a request that may not be repeated: failed, not rejected": ShutdownCase(
+        longest_deadline_ms=3000.0,
+        script=f"""
+        terminate
         wait 350
-        c send {LAST}
+        c send {OPEN_WITH_LATE_DEADLINE}
         s1 expect OPEN*
         within 2960 c expect ERR
         c expect EOF
-        s1 expect EOF""", {"request_classes": UNSAFE}),
-    "a hung server and a request that would wait longer than the stop may take: failed in time": (8000.0, f"""
+        s1 expect EOF""",
+        settings={"request_classes": NOT_IDEMPOTENT},
+    ),
+    "a hung server and a request that would outlast the shutdown: failed in time": ShutdownCase(
+        longest_deadline_ms=8000.0,
+        script=f"""
         c send {OPEN.replace("d=2000", "d=8000")}
         s1 expect OPEN*
-        term
+        terminate
         within 3400 c expect ERR
-        c expect EOF""", {"request_classes": UNSAFE}),
-    "a hung server and a request that may be repeated, in the last moment: refused": (3000.0, f"""
-        term
+        c expect EOF""",
+        settings={"request_classes": NOT_IDEMPOTENT},
+    ),
+    "a hung server and a request that may be repeated, in the last moment: rejected": ShutdownCase(
+        longest_deadline_ms=3000.0,
+        script=f"""
+        terminate
         wait 350
-        c send {LAST}
+        c send {OPEN_WITH_LATE_DEADLINE}
         s1 expect OPEN*
         s2 expect OPEN*
         s3 expect OPEN*
         within 1500 c expect BUSY*
-        c expect EOF""", {}),
-    "an RPC that comes up after the last move is moved as the program ends": (3000.0, f"""
-        term
+        c expect EOF""",
+    ),
+    "a connection established after the last migration is migrated as the program ends": ShutdownCase(
+        longest_deadline_ms=3000.0,
+        script=f"""
+        terminate
         wait 350
-        c send {LAST}
+        c send {OPEN_WITH_LATE_DEADLINE}
         s1 expect OPEN*
         wait 2946
         s1 send UP 8
         c expect UP 8
         within 100 c expect MOVE
         c expect EOF
-        s1 expect EOF""", {"request_classes": UNSAFE}),
-    "a client that reads slowly, as its line is half written": (SHORT, STANDS + """
+        s1 expect EOF""",
+        settings={"request_classes": NOT_IDEMPOTENT},
+    ),
+    "a client that reads slowly, as its line is half written": ShutdownCase(
+        longest_deadline_ms=SHORT_DEADLINE_MS,
+        script=ESTABLISHED_WITH_SHORT_DEADLINE
+        + """
         s1 flood
-        term
+        terminate
         wait 1300
         c flooded MOVE
-        c expect EOF""", {}),
-    "a channel at rest is told that nothing was sent on": (3000.0, """
+        c expect EOF""",
+    ),
+    "an idle client connection reads that nothing was sent on": ShutdownCase(
+        longest_deadline_ms=3000.0,
+        script="""
         wait 1000
         c part OP
-        term
+        terminate
         within 700 c expect BUSY
-        c expect EOF""", {}),
-    "its request arrives after the shutdown: answered, not reset, not sent on": (3000.0, f"""
+        c expect EOF""",
+    ),
+    "its request arrives after the shutdown: answered, not reset, not sent on": ShutdownCase(
+        longest_deadline_ms=3000.0,
+        script=f"""
         wait 1000
         c part OP
-        term
+        terminate
         within 700 c expect BUSY
         c part {OPEN[2:]}\\r\\n
         c expect EOF
-        c close""", {}),
-    "a client that comes at once again after its MOVE": (SHORT, STANDS + f"""
-        term
+        c close""",
+    ),
+    "a client that comes at once again after its MOVE": ShutdownCase(
+        longest_deadline_ms=SHORT_DEADLINE_MS,
+        script=ESTABLISHED_WITH_SHORT_DEADLINE
+        + f"""
+        terminate
         within 1200 c expect MOVE
-        c2 send {AGAIN}
+        c2 send {OTHER_OPEN_WITH_SHORT_DEADLINE}
         within 100 c2 expect BUSY*
-        c2 expect EOF""", {}),
-}  # fmt: skip
-
+        c2 expect EOF""",
+    ),
+}
 
-@pytest.mark.parametrize("longest, script, changes", STOPS.values(), ids=STOPS.keys())
-def test_a_planned_stop_crosses(longest: float, script: str, changes: dict[str, object]) -> None:
-    async def ends(world: scenario.World) -> None:
-        await instance(longest)(world)
 
-    scenario.run(script, ends, (), **changes)
+@pytest.mark.parametrize("case", SHUTDOWNS.values(), ids=SHUTDOWNS.keys())
+def test_a_graceful_shutdown_answers_every_client(case: ShutdownCase) -> None:
+    scenario.run(case.script, build_server(case.longest_deadline_ms), (), **case.settings)
 
 
-@pytest.mark.parametrize("time", range(4))  # which task of a tick runs first is chance
+# Repeated, as trio picks the task of a tick that runs first at random.
+@pytest.mark.parametrize("repetition", range(4))
 def test_a_client_that_waits_to_be_accepted_as_the_program_ends_is_answered(
-    monkeypatch: pytest.MonkeyPatch, time: int
+    monkeypatch: pytest.MonkeyPatch, repetition: int
 ) -> None:
     """It is in the listener's queue as the accepting ends; with the listener it would be reset."""
-    end = ConnectionShutdown.shut_down
+    real_shut_down = ConnectionShutdown.shut_down
     clients: list[socket.socket] = []
 
-    async def crossing(world: scenario.World) -> None:
-        await instance(50.0)(world)
-        address = world.instance.address  # type: ignore[attr-defined]
+    async def cross(world: scenario.World) -> None:
+        await build_server(50.0)(world)
+        address = world.server.address  # type: ignore[attr-defined]
 
-        async def crossed(self: ConnectionShutdown, gone_at: float) -> None:
-            # not trio's: no other task runs meanwhile
+        async def connect_and_shut_down(self: ConnectionShutdown, exit_at_s: float) -> None:
+            # A blocking socket: no other task runs meanwhile.
             clients.append(socket.create_connection(address))
             clients[0].sendall(f"{OPEN.replace('2000', '50')}\r\n".encode())
-            await end(self, gone_at)
+            await real_shut_down(self, exit_at_s)
 
-        monkeypatch.setattr(ConnectionShutdown, "shut_down", crossed)
-        await world.verbs["term"]("")
-        await world.gone.wait()  # type: ignore[attr-defined]
+        monkeypatch.setattr(ConnectionShutdown, "shut_down", connect_and_shut_down)
+        await world.verbs["terminate"]("")
+        await world.exited.wait()  # type: ignore[attr-defined]
         with clients[0] as client:
             client.setblocking(False)
             peer = LinePeer(trio.SocketStream(trio.socket.from_stdlib_socket(client)))
             assert (await peer.receive()).startswith("BUSY") and await peer.receive() == "EOF"
         assert not world.taken
 
-    scenario.run("", crossing)
+    scenario.run("", cross)
 
 
-RESTS = {
-    "its request crosses the end of its time: refused, not reset, not sent on": f"""
+CLOSES = {
+    "its request crosses the end of its time: rejected, not reset, not sent on": f"""
         c part OP
         within 2100 c expect BUSY
         c part {OPEN[2:]}\\r\\n
         c expect EOF
         c close
-        c2 send {OTHER}
+        c2 send {OTHER_OPEN}
         s1 expect OPEN aa*""",
     "a flood after the answer is drained, not reset": f"""
         c send OPEN 1 zz c=chat
         c expect ERR
         c part {"x" * 100_000}
         c expect EOF""",
-    "half a line of a server, then its end": UP + "s1 part M 1 ha\ns1 close\nc expect M 1 ha\nc expect EOF",
-    "half a line of a server when its client is moved": UP + """
+    "half a line of a server, then its end": ESTABLISHED
+    + "s1 part M 1 ha\ns1 close\nc expect M 1 ha\nc expect EOF",
+    "half a line of a server when its client is migrated": ESTABLISHED
+    + """
         s1 part M 1 ha
         stop
         within 2100 c expect MOVE
@@ -257,302 +335,333 @@
         s1 send UP 7
         c close
         within 10 s1 expect EOF""",
-}  # fmt: skip
+}
 
 
-@pytest.mark.parametrize("script", RESTS.values(), ids=RESTS.keys())
-def test_a_close_crosses(script: str) -> None:
-    scenario.run(script, build)
+@pytest.mark.parametrize("script", CLOSES.values(), ids=CLOSES.keys())
+def test_a_close_that_crosses_input_loses_nothing(script: str) -> None:
+    scenario.run(script, build_frontend)
 
 
-MOVES = {
-    "a client that goes on sending reads its MOVE and the end, not a reset": UP + """
-        crossing 1
+MIGRATIONS = {
+    "a client that goes on sending reads its MOVE and the end, not a reset": ESTABLISHED
+    + """
+        migrate_crossing 1
         c send M 0
         c expect MOVE
-        c part """ + r"M 1\r\n" * 5000 + """
+        c part """
+    + r"M 1\r\n" * 5000
+    + """
         c expect EOF
         wait 1000
-        forgotten""",
-    "a client that leaves in that tick": UP + """
-        crossing 1
+        nothing_open""",
+    "a client that leaves in that tick": ESTABLISHED
+    + """
+        migrate_crossing 1
         c close
         s1 expect EOF
         within 900 c expect *
         wait 1000
-        forgotten""",
-    "a client that resets in that tick": UP + """
-        crossing 1
+        nothing_open""",
+    "a client that resets in that tick": ESTABLISHED
+    + """
+        migrate_crossing 1
         c reset
         s1 expect [ER]*
         wait 1000
-        forgotten""",
-    "after the server's BYE, before its end": UP + """
+        nothing_open""",
+    "after the server's BYE, before its end": ESTABLISHED
+    + """
         s1 send BYE
         c expect BYE
-        now
+        migrate_now
         wait 10
         s1 close
         c expect EOF
         wait 1000
-        forgotten""",
-    "a server that ends in that tick": UP + """
-        crossing 1
+        nothing_open""",
+    "a server that ends in that tick": ESTABLISHED
+    + """
+        migrate_crossing 1
         s1 send BYE
         s1 close
         c expect [BM]*
         c expect EOF
         wait 1000
-        forgotten""",
-    "a client that reads slowly gets the rest of its line before the MOVE": UP + """
+        nothing_open""",
+    "a client that reads slowly gets the rest of its line before the MOVE": ESTABLISHED
+    + """
         s1 flood
-        crossing 1
+        migrate_crossing 1
         c send M 0
         wait 700
         c flooded MOVE
         c expect EOF
         wait 1000
-        forgotten""",
-    "one that is told twice is moved once": UP + """
-        crossing 2
+        nothing_open""",
+    "one that is migrated twice reads one MOVE": ESTABLISHED
+    + """
+        migrate_crossing 2
         c send M 0
         c expect MOVE
         c expect EOF
         wait 1000
-        forgotten""",
-}  # fmt: skip
+        nothing_open""",
+}
 
 
-@pytest.mark.parametrize("script", MOVES.values(), ids=MOVES.keys())
-def test_a_move_crosses(script: str) -> None:
-    """The module's order comes in the tick in which a side of the relay wakes."""
+@pytest.mark.parametrize("script", MIGRATIONS.values(), ids=MIGRATIONS.keys())
+def test_a_migration_that_crosses_an_end_sends_one_move_at_most(script: str) -> None:
+    """The policy's command comes in the tick in which a part of the relay wakes."""
 
-    async def ends(world: scenario.World) -> None:
-        await build(world)
+    async def build(world: scenario.World) -> None:
+        await build_frontend(world)
 
-        async def crossing(times: str) -> None:
-            def move() -> None:
+        async def migrate_crossing(times: str) -> None:
+            def migrate() -> None:
                 for _ in range(int(times)):
                     world.engine._act(MigrateConnection(1))
 
-            scenario.BeforeStep("Relay._run_until_first_end", move)
+            scenario.BeforeStep("Relay._run_until_first_end", migrate)
 
-        async def now(_: str) -> None:
+        async def migrate_now(_arguments: str) -> None:
             world.engine._act(MigrateConnection(1))
 
-        world.verbs |= {"crossing": crossing, "now": now}
+        world.verbs["migrate_crossing"] = migrate_crossing
+        world.verbs["migrate_now"] = migrate_now
 
-    scenario.run(script, ends)
+    scenario.run(script, build)
 
 
-class Late:
-    """Connections to servers come up when the script lets them: `free`, or after `delay` seconds of each."""
+class DelayedConnects:
+    """Makes connecting to servers take `delays_s`, one after another; nothing once they are used up."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, *delays: float) -> None:
-        self.asked, self._delays = 0, list(delays)
-        monkeypatch.setattr(upstream, "open_line_stream", self.dial)
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, *delays_s: float) -> None:
+        self.count = 0
+        self._delays_s = list(delays_s)
+        monkeypatch.setattr(upstream, "open_line_stream", self._connect)
 
-    async def dial(self, address: tuple[str, int]) -> object:
-        self.asked += 1
-        await trio.sleep(self._delays.pop(0) if self._delays else 0.0)
+    async def _connect(self, address: tuple[str, int]) -> object:
+        self.count += 1
+        await trio.sleep(self._delays_s.pop(0) if self._delays_s else 0.0)
         return await open_line_stream(address)
 
 
-@pytest.mark.parametrize("how", ["close", "reset", "part junk\\r\\n\nc reset"])
-def test_a_client_that_left_while_its_attempt_connected_is_not_sent_on(
-    monkeypatch: pytest.MonkeyPatch, how: str
+@pytest.mark.parametrize("departure", ["close", "reset", "part junk\\r\\n\nc reset"])
+def test_a_request_whose_client_left_while_its_attempt_connected_is_not_sent(
+    monkeypatch: pytest.MonkeyPatch, departure: str
 ) -> None:
-    late = Late(monkeypatch, 0.05)
+    delayed_connects = DelayedConnects(monkeypatch, 0.05)
     script = f"""
         c send {OPEN}
         wait 20
-        c {how}
+        c {departure}
         wait 5
-        forgotten
+        nothing_open
         wait 400
-        c2 send {OTHER}
+        c2 send {OTHER_OPEN}
         s1 expect OPEN aa*"""
-    scenario.run(script, build)
-    assert late.asked == 2
+    scenario.run(script, build_frontend)
+    assert delayed_connects.count == 2
 
 
-@pytest.mark.parametrize("how", ["close", "reset"])
-def test_a_client_that_left_while_it_waited_for_room_is_not_sent_on(how: str) -> None:
-    """Held, as both servers had turned the one before away; they are free again 1 s later."""
+@pytest.mark.parametrize("departure", ["close", "reset"])
+def test_a_request_whose_client_left_while_it_waited_for_capacity_is_not_sent(departure: str) -> None:
+    """Both servers have answered the request before it with BUSY; they count as free again 1 s later."""
     script = f"""
-        c send {OTHER}
+        c send {OTHER_OPEN}
         s1 expect OPEN aa*
         s1 send BUSY
         s2 expect OPEN aa*
         s2 send BUSY
         c2 send {OPEN}
         wait 200
-        c2 {how}
+        c2 {departure}
         c close
         wait 5
-        forgotten
+        nothing_open
         wait 1500
         c3 send {OPEN.replace("9b1f", "ab")}
         s3 expect OPEN ab*"""
-    scenario.run(script, build)
+    scenario.run(script, build_frontend)
 
 
-def test_a_client_that_left_while_servers_were_asked_for_their_load_is_not_sent_on() -> None:
+def test_a_request_whose_client_left_while_load_reports_were_polled_is_not_sent() -> None:
     """Nobody answers; after 60 ms the request would be placed without."""
     script = f"""
         c send {OPEN}
         wait 20
         c close
         wait 5
-        forgotten
+        nothing_open
         wait 300
-        c2 send {OTHER}
+        c2 send {OTHER_OPEN}
         s1 expect OPEN aa*"""
     scenario.run(
-        script, build, load_reports_available=True, load_report_load_index=0, server_reports_latency=False
+        script,
+        build_frontend,
+        load_reports_available=True,
+        load_report_load_index=0,
+        server_reports_latency=False,
     )
 
 
-@pytest.mark.parametrize("how", ["close", "reset", "part junk\\r\\n\nc reset"])
-def test_a_client_that_left_while_its_attempt_was_out_is_not_tried_elsewhere(how: str) -> None:
+@pytest.mark.parametrize("departure", ["close", "reset", "part junk\\r\\n\nc reset"])
+def test_a_request_whose_client_left_during_its_attempt_is_not_retried(departure: str) -> None:
     script = f"""
         c send {OPEN}
         s1 expect OPEN*
-        c {how}
+        c {departure}
         within 10 s1 expect EOF
         wait 5
-        forgotten
+        nothing_open
         wait 600
-        c2 send {OTHER}
+        c2 send {OTHER_OPEN}
         s2 expect OPEN aa*"""
-    scenario.run(script, build)
+    scenario.run(script, build_frontend)
 
 
-def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(
+def test_a_retry_that_connects_after_its_deduplication_window_is_not_sent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Rule 2: repeats of this class are dropped for 300 ms; the second connection is up 350 ms after."""
-    Late(monkeypatch, 0.0, 0.35)
+    DelayedConnects(monkeypatch, 0.0, 0.35)
     script = f"""
         c send {OPEN}
         s1 expect OPEN*
         s1 send ERR
         s2 expect EOF
         c expect BUSY*"""
-    scenario.run(script, build, connect_timeout=1000.0, request_classes=KEYED)
+    scenario.run(script, build_frontend, connect_timeout=1000.0, request_classes=IDEMPOTENT_WITH_KEY)
 
 
-def test_a_drain_told_between_choice_and_connection_is_heeded(monkeypatch: pytest.MonkeyPatch) -> None:
-    Late(monkeypatch, 0.7)
+def test_a_drain_that_begins_while_an_attempt_connects_is_heeded(monkeypatch: pytest.MonkeyPatch) -> None:
+    DelayedConnects(monkeypatch, 0.7)
     script = f"""
         c send {OPEN}
         list draining
         s1 expect EOF
         c expect BUSY*"""
-    scenario.run(script, build, connect_timeout=1000.0, request_classes=UNSAFE)
+    scenario.run(script, build_frontend, connect_timeout=1000.0, request_classes=NOT_IDEMPOTENT)
 
 
-def test_an_attempt_that_connects_as_the_program_ends_is_given_up_and_refused(
+def test_an_attempt_that_connects_as_the_program_ends_is_cancelled_and_rejected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Though it may not be repeated: nothing was sent, and nothing is sent on afterwards."""
-    late = Late(monkeypatch, 9.0)
+    delayed_connects = DelayedConnects(monkeypatch, 9.0)
     script = f"""
-        term
+        terminate
         wait 350
-        c send {LAST}
+        c send {OPEN_WITH_LATE_DEADLINE}
         within 2960 c expect BUSY*
         c expect EOF
         wait 9000"""
     worlds: list[scenario.World] = []
 
-    async def ends(world: scenario.World) -> None:
+    async def build(world: scenario.World) -> None:
         worlds.append(world)
-        await instance()(world)
+        await build_server()(world)
 
-    scenario.run(script, ends, connect_timeout=math.inf, request_classes=UNSAFE)
-    assert late.asked == 1 and not worlds[0].taken
+    scenario.run(script, build, connect_timeout=math.inf, request_classes=NOT_IDEMPOTENT)
+    assert delayed_connects.count == 1
+    assert not worlds[0].taken
 
 
-def test_deadlines_are_kept_though_every_connection_is_late(monkeypatch: pytest.MonkeyPatch) -> None:
-    Late(monkeypatch, *[1.5] * 9)
-    scenario.run(f"c send {WAITS}\nwithin 1100 c expect BUSY*\nc expect EOF", build, connect_timeout=math.inf)
+def test_deadlines_are_kept_though_every_attempt_connects_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    DelayedConnects(monkeypatch, *[1.5] * 9)
+    scenario.run(
+        f"c send {OPEN_WITH_SHORT_DEADLINE}\nwithin 1100 c expect BUSY*\nc expect EOF",
+        build_frontend,
+        connect_timeout=math.inf,
+    )
 
 
-ASKED = """
-    probe a
+POLLED = """
+    poll a
     s1 expect STATS
     s1 send PONG x0=0.5
-    told a=0.5
+    reported a=0.5
 """
-ANEW = """
+POLLED_AGAIN = """
     within 10 s2 expect STATS
     s2 send PONG x0=0.25
-    told a=0.25
+    reported a=0.25
 """
-PROBES = {
-    "a server that closed what rested is asked over a new connection": ASKED + "s1 close\nprobe a" + ANEW,
-    "one that closes it as the question comes": ASKED + "probe a\ns1 expect STATS\ns1 close" + ANEW,
-    "or resets it": ASKED + "probe a\ns1 expect STATS\ns1 reset" + ANEW,
+LOAD_REPORT_POLLS = {
+    "a server that closed the idle connection is polled over a new one": POLLED
+    + "s1 close\npoll a"
+    + POLLED_AGAIN,
+    "one that closes it as the poll comes": POLLED + "poll a\ns1 expect STATS\ns1 close" + POLLED_AGAIN,
+    "or resets it": POLLED + "poll a\ns1 expect STATS\ns1 reset" + POLLED_AGAIN,
     "a new connection that ends at once is not tried again": """
-        probe a
+        poll a
         s1 expect STATS
         s1 close
         wait 500
-        probe a"""
-    + ANEW,
-    "a server that moved is asked where it is now": ASKED + "swap\nprobe a\ns1 expect EOF" + ANEW,
-    "a question in the tick in which the connection would be closed": ASKED
+        poll a"""
+    + POLLED_AGAIN,
+    "a server that moved is polled at its new address": POLLED
+    + "swap_addresses\npoll a\ns1 expect EOF"
+    + POLLED_AGAIN,
+    "a poll in the tick in which the idle connection would be closed": POLLED
     + """
-        idle
+        end_idle_time
         wait 10001
         s1 expect STATS
         s1 send PONG x0=0.25
-        told a=0.25""",
+        reported a=0.25""",
 }
 
 
-@pytest.mark.parametrize("script", PROBES.values(), ids=PROBES.keys())
-def test_a_probe_crosses(script: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    async def asks(world: scenario.World) -> None:
+@pytest.mark.parametrize("script", LOAD_REPORT_POLLS.values(), ids=LOAD_REPORT_POLLS.keys())
+def test_a_poll_that_crosses_a_close_is_answered(script: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def build(world: scenario.World) -> None:
         watcher = EndpointWatcher(world.engine, ("127.0.0.1", 1), NAMES)
-        body = await listen(world)
-        watcher.load_cached(body)
+        endpoint_list = await start_servers(world)
+        watcher.load_cached(endpoint_list)
         poller = LoadReportPoller(world.engine, watcher, ("x0",), 8)
         world.nursery.start_soon(poller.run)
-        told, told_to = trio.open_memory_channel[str](9)
+        send_report, receive_report = trio.open_memory_channel[str](9)
 
-        def probed(server: EndpointId, elapsed: float, report: tuple[float, ...]) -> None:
-            told.send_nowait(f"{server}={report[0]}")
+        def record_report(server: EndpointId, elapsed: float, report: tuple[float, ...]) -> None:
+            send_report.send_nowait(f"{server}={report[0]}")
 
-        monkeypatch.setattr(world.engine, "load_report_received", probed)
+        monkeypatch.setattr(world.engine, "load_report_received", record_report)
 
-        async def probe(server: str) -> None:
-            world.engine._load_report_requests.send_nowait(server)
+        async def poll(endpoint_id: str) -> None:
+            world.engine._load_report_requests.send_nowait(endpoint_id)
 
-        async def expect(what: str) -> None:
-            assert await told_to.receive() == what
+        async def expect_report(expected: str) -> None:
+            assert await receive_report.receive() == expected
 
-        async def swap(_: str) -> None:
-            names = body.replace(b'"a"', b'"c"').replace(b'"b"', b'"a"').replace(b'"c"', b'"b"')
-            watcher.load_cached(names)
+        async def swap_addresses(_arguments: str) -> None:
+            swapped = endpoint_list.replace(b'"a"', b'"c"').replace(b'"b"', b'"a"').replace(b'"c"', b'"b"')
+            watcher.load_cached(swapped)
 
-        async def idle(_: str) -> None:
+        async def end_idle_time(_arguments: str) -> None:
             scenario.BeforeStep("LoadReportPoller._stand", lambda: poller._open["a"].send_nowait(None))
 
-        world.verbs |= {"probe": probe, "told": expect, "swap": swap, "idle": idle}
+        world.verbs["poll"] = poll
+        world.verbs["reported"] = expect_report
+        world.verbs["swap_addresses"] = swap_addresses
+        world.verbs["end_idle_time"] = end_idle_time
 
-    scenario.run(script, asks)
+    scenario.run(script, build)
 
 
-@pytest.mark.parametrize("patience", [45, 50, 60, 80, 100])
-def test_an_answer_comes_in_time_where_servers_say_nothing_of_their_load(patience: int) -> None:
+@pytest.mark.parametrize("patience_ms", [45, 50, 60, 80, 100])
+def test_an_answer_comes_in_time_although_no_load_report_does(patience_ms: int) -> None:
     """Its deadline comes before the wait for reports is over."""
     script = f"""
-        c send {OPEN.replace("2000", str(patience))}
-        within {patience} s1 expect OPEN*
+        c send {OPEN.replace("2000", str(patience_ms))}
+        within {patience_ms} s1 expect OPEN*
         s1 send UP 7
         c expect UP 7"""
     scenario.run(
-        script, build, load_reports_available=True, load_report_load_index=0, server_reports_latency=False
+        script,
+        build_frontend,
+        load_reports_available=True,
+        load_report_load_index=0,
+        server_reports_latency=False,
     )
--- a/walkloom/frontends/line/placement.py
+++ b/walkloom/frontends/line/placement.py
@@ -53,7 +53,7 @@
 ) -> EstablishedUpstream | Fail:
     """Return the upstream connection of an adopted connection, at the server where it was open before.
 
-    The policy has it as established from the start, and is told only if it cannot be had: then it ended.
+    The policy has it as established from the start, and learns of it only if it cannot be had: then it ended.
     """
     for _ in range(MAX_ADOPTION_ATTEMPTS):
         give_up_at_ms = engine.now() + ADOPTION_ATTEMPT_TIMEOUT_MS
--- a/walkloom/frontends/line/request_line.py
+++ b/walkloom/frontends/line/request_line.py
@@ -82,7 +82,7 @@
     # `g=`: the group of connections that share work; None: absent, or 0 on the wire.
     affinity_group: int | None = None
 
-    # `h=`: a guess at the connection's load, in the unit of `Request.load`; None: not told.
+    # `h=`: a guess at the connection's load, in the unit of `Request.load`; None: absent.
     load: float | None = None
 
     # `r=1`: the client tried the same before, and got a final answer.
--- a/walkloom/frontends/line/upstream.py
+++ b/walkloom/frontends/line/upstream.py
@@ -88,7 +88,7 @@
     upstream: LineStream,
     give_up_at_ms: float,
 ) -> EstablishedUpstream | AttemptStatus:
-    # Connecting took time: the deadline may have passed, a drain been told, or the deduplication window
+    # Connecting took time: the deadline may have passed, a drain have begun, or the deduplication window
     # closed. The policy is therefore asked once more, as late as possible.
     remaining_ms = give_up_at_ms - engine.now()
     if remaining_ms <= 0:
