--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -1,8 +1,8 @@
 """The configuration that the platform hands to a balancer at its start.
 
 GW_CONFIG names a JSON file. `load` reads it and `parse` turns it into typed values, each checked. The keys of
-the file are the platform's; only this module and `simulator/settings.py`, which reads the key `settings`, know
-them.
+the file are the platform's; only this module and `simulator/settings.py`, which reads the key `settings`,
+know them.
 
 ConfigError is the one error of this module.
 """
