--- a/tests/client/test_core.py
+++ b/tests/client/test_core.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.client.rig import EDIT, ONE, TWO, VIEW, Rig
+from tests.client.core_harness import EDIT, ONE, TWO, VIEW, Rig
 from walkloom.client.core import ClientCore
 from walkloom.client.errors import ClientError, Failed, Interrupted, Refused, TimedOut, TooMany
 from walkloom.client.session import Session, State
--- a/tests/client/test_drivers.py
+++ b/tests/client/test_drivers.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.client.scripted import VIEW, Balancer, Body, Kit, run_asyncio, run_trio, served
+from tests.client.scripted_balancer import VIEW, Balancer, Body, Kit, run_asyncio, run_trio, served
 from walkloom.client import Failed, Interrupted, Refused, TimedOut, blocking
 from walkloom.client.errors import ClientError
 from walkloom.client.settings import Limits
--- a/tests/client/test_properties.py
+++ b/tests/client/test_properties.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.client.rig import ONE, TWO, Rig
-from walkloom.client.budget import SLOT_MS, SLOTS, RetryBudget
+from tests.client.core_harness import ONE, TWO, Rig
 from walkloom.client.errors import ClientError
+from walkloom.client.retry_budget import SLOT_MS, SLOTS, RetryBudget
 from walkloom.client.session import Session, State
 from walkloom.client.wire import LONGEST, LineBuffer
 
--- a/tests/client/test_readme.py
+++ b/tests/client/test_readme.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.client.scripted import Balancer, served
+from tests.client.scripted_balancer import Balancer, served
 
 
 def test_the_readme_s_use_of_the_client_runs(capsys: pytest.CaptureFixture[str]) -> None:
--- a/walkloom/client/__init__.py
+++ b/walkloom/client/__init__.py
@@ -6,17 +6,17 @@
     on_trio, on_asyncio, blocking    Client and Session on each kind of loop; sockets and clocks
     core                             all sessions of one client: turns, tries, returns; no I/O
     session                          one session's state machine and lines; no I/O
-    gate, targets, budget, returns   who is held back, whom to ask, how many retries, who comes back when;
-    no I/O
+    admission, balancer_pool         who is held back, whom to ask; no I/O
+    retry_budget, reconnect_pacer    how many retries, who reconnects when; no I/O
     wire                             the lines of the protocol
-    settings, errors, seen           what a user sets, what is raised, what was seen
+    settings, errors, metrics           what a user sets, what is raised, what was seen
 
 `from walkloom.client.on_asyncio import Client` (or `on_trio`, `blocking`); the rest is here. Nothing of the
 balancer is imported. docs/client.md has the design and a user's page.
 """
 
 from walkloom.client.errors import ClientError, Failed, Interrupted, Refused, TimedOut, TooMany
-from walkloom.client.seen import Counters, Figures, Spread
+from walkloom.client.metrics import Counters, Figures, Spread
 from walkloom.client.settings import ClassPolicy, Limits
 
 __all__ = [
--- a/walkloom/client/blocking.py
+++ b/walkloom/client/blocking.py
@@ -16,7 +16,7 @@
 from typing import Any, Self, TypeVar
 
 from walkloom.client import on_asyncio
-from walkloom.client.seen import Figures
+from walkloom.client.metrics import Figures
 from walkloom.client.settings import ClassPolicy, Limits
 
 T = TypeVar("T")
--- a/walkloom/client/core.py
+++ b/walkloom/client/core.py
@@ -20,14 +20,14 @@
 from random import Random
 from typing import NamedTuple
 
-from walkloom.client.budget import RetryBudget
+from walkloom.client.admission import Gate
+from walkloom.client.balancer_pool import Target, Targets
 from walkloom.client.errors import ClientError, Failed, ProtocolError, Refused, TimedOut, TooMany
-from walkloom.client.gate import Gate
-from walkloom.client.returns import Returns
-from walkloom.client.seen import Figures, Seen
+from walkloom.client.metrics import Figures, Seen
+from walkloom.client.reconnect_pacer import Returns
+from walkloom.client.retry_budget import RetryBudget
 from walkloom.client.session import MOVED, Session, State
 from walkloom.client.settings import ClassPolicy, Limits
-from walkloom.client.targets import Target, Targets
 from walkloom.client.wire import About, Bad, Busy, Up, encoded, opening
 
 log = logging.getLogger("walkloom.client")
--- a/walkloom/client/driver.py
+++ b/walkloom/client/driver.py
@@ -10,7 +10,7 @@
 
 from walkloom.client import core as c
 from walkloom.client.errors import Failed
-from walkloom.client.seen import Figures
+from walkloom.client.metrics import Figures
 from walkloom.client.session import Session as Machine
 from walkloom.client.session import State
 from walkloom.client.settings import ClassPolicy, Limits, address
--- a/walkloom/client/session.py
+++ b/walkloom/client/session.py
@@ -20,9 +20,9 @@
 from collections import deque
 from enum import Enum
 
+from walkloom.client.balancer_pool import Target
 from walkloom.client.errors import ClientError, Interrupted
 from walkloom.client.settings import ClassPolicy
-from walkloom.client.targets import Target
 from walkloom.client.wire import About, Bad, Busy, LineBuffer, Up, answer
 
 MOVED = "moved"
