--- a/benchmarks/client.py
+++ b/benchmarks/client.py
@@ -24,10 +24,10 @@
 
 import trio
 
-from walkloom.client import ClassPolicy, ClientError, Interrupted, Limits, Refused
+from walkloom.client import ClassPolicy, ClientError, Interrupted, Limits, Rejected
 from walkloom.client.driver import Session
 from walkloom.client.on_trio import Client, _Connection
-from walkloom.client.session import Session as Machine
+from walkloom.client.session import Session as CoreSession
 from walkloom.lab import Fleet
 from walkloom.lab.settings import CLASSES, LabClass
 from walkloom.net.lines import Lines
@@ -146,7 +146,7 @@
                 while True:
                     with suppress(Interrupted):
                         await self.session.receive()
-            except Refused as error:
+            except Rejected as error:
                 pause = max(error.retry_after / 1000.0, pause)
             except ClientError:
                 pass
@@ -159,9 +159,9 @@
 
     tried: Callable[[], None]
 
-    def _dial(self, session: Machine, conn: int, to: tuple[str, int]) -> _Connection:
+    def _connect(self, session: CoreSession, connection_id: int, address: tuple[str, int]) -> _Connection:
         self.tried()
-        return super()._dial(session, conn, to)
+        return super()._connect(session, connection_id, address)
 
 
 def play(behaviour: str, scenario: str) -> Record:
@@ -407,7 +407,7 @@
         for session in sessions:
             await session.receive()
         lines = _cpu_s() - cpu
-        delay = client.figures().delay["tile-view"]
+        delay = client.figures().line_delays["tile-view"]
     n = len(sessions)
     return [
         f"{n} standing sessions in one process: {(after - before) / n:.1f} KiB each, "
--- a/tests/client/test_drivers.py
+++ b/tests/client/test_drivers.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.client.scripted_balancer import VIEW, Balancer, Body, Kit, run_asyncio, run_trio, served
-from walkloom.client import Failed, Interrupted, Refused, TimedOut, blocking
+from walkloom.client import Failed, Interrupted, Rejected, TimedOut, blocking
 from walkloom.client.errors import ClientError
 from walkloom.client.settings import Limits
 
@@ -45,9 +45,9 @@
         (["hold"], TimedOut, 1200, "no answer"),
         (["raw BUSY 10\nhold"], TimedOut, 1200, "no answer"),
         (["trickle 100"], TimedOut, 1200, "no answer"),
-        (["wait 1190\n> BUSY 5"], Refused, 1200, "refused"),
+        (["wait 1190\n> BUSY 5"], Rejected, 1200, "rejected"),
         (["wait 1230\n> BUSY 5"], TimedOut, 1200, "no answer"),
-        (["> BUSY 1300"], Refused, 100, "come again"),
+        (["> BUSY 1300"], Rejected, 100, "retry after"),
         (["> ERR"], Failed, 1200, "ERR"),
         (["reset"], Failed, 1200, "broke"),
         (["> HTTP/1.1 400 Bad Request\n> x"], Failed, 1200, "HTTP/1.1 400"),
@@ -122,8 +122,8 @@
                     await client.open("tile-view")
                 assert (kit.now() - start) * 1000 <= 1200 + 20
             figures = client.figures()
-            assert figures.counters.up >= 9 and len(good.opened) == figures.counters.up
-            assert figures.counters.left_out >= 1 and len(silent.opened) <= 4
+            assert figures.counters.established >= 9 and len(good.opened) == figures.counters.established
+            assert figures.counters.ejections >= 1 and len(silent.opened) <= 4
 
     run(body, Balancer(["hold"]), Balancer(["hold"]), Balancer([UP]))
 
@@ -136,7 +136,7 @@
             while session is None:
                 try:
                     session = await client.open("tile-view")
-                except Refused as error:
+                except Rejected as error:
                     refusals += 1
                     assert error.retry_after > 0
                     await kit.sleep(error.retry_after / 1000)
@@ -152,9 +152,9 @@
         async with kit.client(balancers, lines_in=8) as client:
             session = await client.open("tile-view")
             await kit.sleep(1)
-            held = len(session._machine.inbox)
+            held = len(session._core_session.inbox)
             await kit.sleep(1)
-            assert held == len(session._machine.inbox) <= 8 + 16_384 // 102
+            assert held == len(session._core_session.inbox) <= 8 + 16_384 // 102
             for _ in range(1000):
                 assert len(await session.receive() or "") == 100
 
@@ -198,7 +198,7 @@
             assert any(outcomes) and not all(outcomes)
             await kit.sleep(0.1)
             figures, n = client.figures(), client.figures().counters
-            assert figures.sessions == 0 and n.requests == n.up + n.abandoned and n.abandoned > 0
+            assert figures.sessions == 0 and n.requests == n.established + n.abandoned and n.abandoned > 0
             assert not any(b.open for b in balancers) and client.connections == {}
 
     run(body, Balancer([UP]))
@@ -229,7 +229,7 @@
             assert next(session) == "b"
         with pytest.raises(ValueError, match="no class"):
             client.open("none")
-        assert client.figures().counters.up == 1
+        assert client.figures().counters.established == 1
 
 
 def test_it_installs_without_the_balancer(tmp_path: Path) -> None:
@@ -238,7 +238,7 @@
     shutil.copytree(source, tmp_path / "walkloom" / "client", ignore=shutil.ignore_patterns("__pycache__"))
     code = """
         import sys
-        from walkloom.client import ClassPolicy, Refused
+        from walkloom.client import ClassPolicy, Rejected
         from walkloom.client import blocking, on_asyncio
         extra = {name for name in sys.modules if name == "trio" or name.startswith("walkloom.")}
         assert all(name.startswith("walkloom.client") for name in extra), extra
--- a/tests/client/test_properties.py
+++ b/tests/client/test_properties.py
@@ -9,11 +9,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.client.core_harness import ONE, TWO, Rig
+from tests.client.core_harness import ONE, TWO, CoreHarness
 from walkloom.client.errors import ClientError
-from walkloom.client.retry_budget import SLOT_MS, SLOTS, RetryBudget
-from walkloom.client.session import Session, State
-from walkloom.client.wire import LONGEST, LineBuffer
+from walkloom.client.retry_budget import SLOT_COUNT, SLOT_MS, RetryBudget
+from walkloom.client.session import Session, SessionState
+from walkloom.client.wire import MAX_LINE_BYTES, LineBuffer
 
 WIDE = int(os.environ.get("WALKLOOM_EXAMPLES", "150"))  # outside CI: more of them
 ANSWERS = [
@@ -38,61 +38,73 @@
 )
 
 
-def act(rig: Rig, sessions: list[Session], op: str, what: object) -> None:
+def act(harness: CoreHarness, sessions: list[Session], op: str, what: object) -> None:
     if op == "open":
         try:
-            sessions.append(rig.open(str(what)))
+            sessions.append(harness.open(str(what)))
         except ClientError:
-            rig.step()
+            harness.step()
         return
     if op == "wait":
-        return rig.at(float(what))  # type: ignore[arg-type]
+        return harness.at(float(what))  # type: ignore[arg-type]
     number, text = what if isinstance(what, tuple) else (what, "")
     if not sessions:
         return
     session = sessions[number % len(sessions)]
     if op == "accept":
-        rig.accept(session)
+        harness.accept(session)
     elif op == "dead":
-        rig.dead(session)
+        harness.connect_failed(session)
     elif op in ("end", "break"):
-        rig.end(session, "broke" if op == "break" else "")
+        harness.end(session, "broke" if op == "break" else "")
     elif op == "close":
-        rig.core.close(session, rig.now)
-        rig.step()
-    elif op == "send" and rig.core.may_send(session):
-        rig.send(session, "line")
-    elif op == "take" and rig.core.has_news(session):
+        harness.core.close(session, harness.now)
+        harness.step()
+    elif op == "send" and harness.core.may_send(session):
+        harness.send(session, "line")
+    elif op == "take" and harness.core.has_pending(session):
         with suppress(ClientError):
-            rig.core.take(session)
+            harness.core.take_pending(session)
     elif op == "say":
-        rig.say(session, text)
+        harness.say(session, text)
 
 
 @settings(max_examples=WIDE, deadline=None, derandomize=True)
 @given(st.lists(OPS, max_size=120), st.integers(0, 5))
 def test_any_order_of_events_keeps_the_rules(ops: list[tuple[str, object]], seed: int) -> None:
-    rig = Rig(ONE, TWO, seed=seed, setups=3, retry_reserve=4, return_first_ms=50, return_for_ms=5000)
+    harness = CoreHarness(
+        ONE, TWO, seed=seed, setups=3, retry_reserve=4, return_first_ms=50, return_for_ms=5000
+    )
     sessions: list[Session] = []
     for op, what in ops:
-        act(rig, sessions, op, what)
-        _check(rig, sessions)
-    rig.at(120_000)  # whatever is under way has ended
-    _check(rig, sessions)
-    assert not any(s.state in (State.WAITING, State.TRYING, State.AWAY) for s in sessions)
-    assert rig.core._out == 0 and all(t.busy == 0 and t.trial is None for t in rig.core._targets.all)
-    assert all(kind.gate.out == 0 for kind in rig.core._classes.values())
+        act(harness, sessions, op, what)
+        _check(harness, sessions)
+    harness.at(120_000)  # whatever is under way has ended
+    _check(harness, sessions)
+    assert not any(
+        s.state in (SessionState.QUEUED, SessionState.CONNECTING, SessionState.BACKING_OFF) for s in sessions
+    )
+    assert harness.core._scheduler.in_flight == 0 and all(
+        balancer.in_flight == 0 and balancer.probe_owner is None for balancer in harness.core._pool.balancers
+    )
+    assert all(
+        request_class.gate.in_flight == 0 for request_class in harness.core._scheduler.classes.values()
+    )
 
 
-def _check(rig: Rig, sessions: list[Session]) -> None:
-    n = rig.core.figures().counters
-    under_way = sum(s.state in (State.WAITING, State.TRYING) for s in sessions)
-    assert n.requests == n.up + n.refused + n.timed_out + n.failed + n.abandoned + under_way
-    assert n.retries <= 4 * (rig.now // (SLOT_MS * SLOTS) + 1) + 0.1 * n.up
-    assert rig.core._out == sum(s.state is State.TRYING for s in sessions) <= 3
+def _check(harness: CoreHarness, sessions: list[Session]) -> None:
+    n = harness.core.figures().counters
+    under_way = sum(s.state in (SessionState.QUEUED, SessionState.CONNECTING) for s in sessions)
+    assert n.requests == n.established + n.rejected + n.timed_out + n.failed + n.abandoned + under_way
+    assert n.retries <= 4 * (harness.now // (SLOT_MS * SLOT_COUNT) + 1) + 0.1 * n.established
+    assert harness.core._scheduler.in_flight == sum(s.state is SessionState.CONNECTING for s in sessions) <= 3
     for session in sessions:
-        assert session.tries <= 3 and (session.state is State.TRYING) <= (session.try_until <= session.until)
-        assert (session.state in (State.TRYING, State.UP)) == (session.number in rig.live)
+        assert session.attempts <= 3 and (session.state is SessionState.CONNECTING) <= (
+            session.attempt_deadline <= session.request_deadline
+        )
+        assert (session.state in (SessionState.CONNECTING, SessionState.ESTABLISHED)) == (
+            session.session_id in harness.open_connections
+        )
 
 
 @settings(max_examples=WIDE, deadline=None, derandomize=True)
@@ -103,18 +115,18 @@
     good: list[int] = []
     for step, ms in steps:
         now += ms
-        first = int(now // SLOT_MS) - SLOTS + 1
+        first = int(now // SLOT_MS) - SLOT_COUNT + 1
         spent = sum(slot >= first for slot in took)
         if step == "take":
             allowed = spent + 1 <= 2 + 0.25 * sum(slot >= first for slot in good)
-            assert budget.take(now) == allowed
+            assert budget.try_reserve(now) == allowed
             if allowed:
                 took.append(int(now // SLOT_MS))
         elif step == "good":
-            budget.succeeded(now)
+            budget.record_success(now)
             good.append(int(now // SLOT_MS))
         else:
-            budget.give_back(now)
+            budget.release(now)
             if spent:
                 took.remove(max(took))
 
@@ -127,6 +139,6 @@
     while data:
         n = rng.randint(1, len(data))  # type: ignore[attr-defined]
         got += buffer.feed(data[:n])
-        assert len(buffer._rest) <= LONGEST
+        assert len(buffer._incomplete) <= MAX_LINE_BYTES
         data = data[n:]
     assert got == lines
--- a/tests/client/test_real_balancers.py
+++ b/tests/client/test_real_balancers.py
@@ -10,7 +10,7 @@
 import trio
 from trio.testing import MockClock
 
-from walkloom.client import ClassPolicy, ClientError, Failed, Interrupted, Limits, Refused, TimedOut
+from walkloom.client import ClassPolicy, ClientError, Failed, Interrupted, Limits, Rejected, TimedOut
 from walkloom.client.on_trio import Client
 from walkloom.lab import Fleet, Trouble
 
@@ -42,7 +42,7 @@
 
 async def stands(client: Client, count: int, within_s: float) -> None:
     with trio.fail_after(within_s):
-        while client.figures().standing < count:
+        while client.figures().established < count:
             await trio.sleep(0.05)
 
 
@@ -57,13 +57,13 @@
             sessions.append(await client.open(cls, tenant="herb-serra", group=number % 7 + 1, key=number))
         fullest = max(fleet.tiles.values(), key=lambda s: len(s.standing))
         held = len(fullest.standing)
-        tried = client.figures().counters.tries
+        tried = client.figures().counters.attempts
         await fleet.drain(fullest.name)
         await stands(client, HUNDREDS, 20)
         await trio.sleep(1)
         n = client.figures().counters
-        assert held > 30 and n.moved >= held and n.returned == n.moved and n.lost == 0
-        assert n.tries - tried <= 1.2 * n.moved and not fullest.standing
+        assert held > 30 and n.migrated >= held and n.reconnected == n.migrated and n.lost == 0
+        assert n.attempts - tried <= 1.2 * n.migrated and not fullest.standing
         for session in sessions:
             await session.send("still there")
             assert await session.receive() == "still there"
@@ -79,12 +79,12 @@
         await first.stop()
         await stands(client, 40, 10)
         n = client.figures().counters
-        assert n.moved >= 10 and n.broken == 0 and n.lost == 0
+        assert n.migrated >= 10 and n.broken == 0 and n.lost == 0
         listen = first.address
         await fleet.balancer("n0", listen)
         for number in range(40):
             await client.open("tile-view", group=number)
-        assert client.figures().standing == 80
+        assert client.figures().established == 80
 
     play(body)
 
@@ -131,8 +131,8 @@
             for tile in fleet.tiles.values():
                 tile.trouble = Trouble.NONE
         n = client.figures().counters
-        assert n.up == 60 and n.requests > 100
-        assert n.tries <= 1.6 * n.up, "the fleet was hammered"
+        assert n.established == 60 and n.requests > 100
+        assert n.attempts <= 1.6 * n.established, "the fleet was hammered"
 
     play(body)
 
@@ -146,7 +146,7 @@
 
         async def viewer(number: int) -> None:
             start = trio.current_time()
-            with suppress(Refused, TimedOut, Failed):
+            with suppress(Rejected, TimedOut, Failed):
                 await client.open("tile-view", group=number)
             assert trio.current_time() - start <= 1.2 + 0.02
 
@@ -154,8 +154,8 @@
             for number in range(60):
                 nursery.start_soon(viewer, number)
         n = client.figures().counters
-        assert n.requests == 60 == n.up + n.refused + n.timed_out + n.failed and n.up >= 10
+        assert n.requests == 60 == n.established + n.rejected + n.timed_out + n.failed and n.established >= 10
         await trio.sleep(2)
-        assert all(len(tile.standing) <= n.up for tile in fleet.tiles.values())
+        assert all(len(tile.standing) <= n.established for tile in fleet.tiles.values())
 
     play(body)
--- a/walkloom/client/blocking.py
+++ b/walkloom/client/blocking.py
@@ -1,6 +1,6 @@
-"""A small blocking form, for scripts: the asyncio client on a thread of its own, so that sessions come
-back and
-answer in time while the script does something else.
+"""A blocking client for scripts: the asyncio client on a thread of its own.
+
+Sessions so reconnect and answer in time while the script does something else.
 
     with Client(["10.0.0.4:9000"], [ClassPolicy("tile-view", 300, 1200)]) as client:
         with client.open("tile-view", tenant="herb-serra") as session:
@@ -19,11 +19,11 @@
 from walkloom.client.metrics import Figures
 from walkloom.client.settings import ClassPolicy, Limits
 
-T = TypeVar("T")
+ResultT = TypeVar("ResultT")
 
 
 class Client:
-    """As `on_asyncio.Client`, as a plain context manager; its sessions may be used from any thread."""
+    """`on_asyncio.Client` as a plain context manager; its sessions may be used from any thread."""
 
     def __init__(
         self,
@@ -47,62 +47,73 @@
         self._thread.join()
         self._loop.close()
 
-    def open(self, cls: str, **about: Any) -> Session:
-        """As `on_asyncio.Client.open`, with the same names and errors."""
-        return Session(self, self.run(self._client.open(cls, **about)))
+    def open(self, cls: str, **attributes: Any) -> Session:
+        """Open a session; the arguments and errors are those of `on_asyncio.Client.open`."""
+        return Session(self, self.run(self._client.open(cls, **attributes)))
 
     def figures(self) -> Figures:
-        """Counters and histograms since the client's start."""
+        """Return counters and histograms since the client's start."""
 
-        async def look() -> Figures:
+        async def on_client_thread() -> Figures:
             return self._client.figures()
 
-        return self.run(look())
+        return self.run(on_client_thread())
+
+    def run(self, coroutine: Coroutine[Any, Any, ResultT], timeout: float | None = None) -> ResultT:
+        """Run a coroutine on the client's thread and return its result.
 
-    def run(self, what: Coroutine[Any, Any, T], timeout: float | None = None) -> T:
-        """Runs it on the client's thread. timeout: seconds, then TimeoutError, and it is cancelled."""
-        future = asyncio.run_coroutine_threadsafe(what, self._loop)
+        timeout: seconds; then it is cancelled, and TimeoutError raised.
+        """
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
         try:
             return future.result(timeout)
-        except BaseException:  # a time-out, or a key press in the script: nobody waits for it any more
+        except BaseException:  # a timeout, or Ctrl-C in the script: nobody waits for it any more
             future.cancel()
             raise
 
 
 class Session:
-    """As `on_asyncio.Session`, without await; iterable."""
+    """`on_asyncio.Session` without await; iterable."""
 
     def __init__(self, client: Client, session: on_asyncio.Session) -> None:
-        self._client, self._session = client, session
+        self._client = client
+        self._session = session
 
     @property
     def receipt(self) -> str:
-        """What the server's newest UP line told."""
+        """What the server's newest `UP` line said."""
         return self._session.receipt
 
     @property
     def standing(self) -> bool:
-        """Whether it is connected now; False while it comes back, and when it is over."""
+        """Whether it is established now; False while it reconnects and when it is closed."""
         return self._session.standing
 
     def send(self, line: str, timeout: float | None = None) -> None:
-        """timeout: seconds to wait for room, then TimeoutError and nothing is sent."""
+        """Send one line.
+
+        timeout: seconds to wait for room; then TimeoutError is raised and nothing is sent.
+        """
         self._client.run(self._session.send(line), timeout)
 
     def receive(self, timeout: float | None = None) -> str | None:
-        """timeout: seconds to wait for a line, then TimeoutError and no line is lost."""
+        """Return the next line; None once the server has ended the session regularly.
+
+        timeout: seconds to wait for it; then TimeoutError is raised and no line is lost.
+        """
         return self._client.run(self._session.receive(), timeout)
 
     def __iter__(self) -> Self:
         return self
 
     def __next__(self) -> str:
-        if (line := self.receive()) is None:
+        line = self.receive()
+        if line is None:
             raise StopIteration
         return line
 
     def close(self) -> None:
-        """Ends the session. Harmless when it is over."""
+        """End the session; harmless if it is closed."""
         self._client.run(self._session.aclose())
 
     def __enter__(self) -> Self:
--- a/walkloom/client/driver.py
+++ b/walkloom/client/driver.py
@@ -1,6 +1,8 @@
-"""What every driver shares: Client and Session round the core, for any loop. A loop brings its clock, its
-events
-and its connections (`on_trio`, `on_asyncio`); the order of things is here."""
+"""What the drivers share: Client and Session around the core, for any event loop.
+
+An event loop brings its clock, its events and its connections (`on_trio`, `on_asyncio`); the order of things
+is here.
+"""
 
 from __future__ import annotations
 
@@ -8,40 +10,51 @@
 from collections.abc import Sequence
 from typing import Protocol, Self
 
-from walkloom.client import core as c
+from walkloom.client.commands import Connect, Disconnect, Notify, Write
+from walkloom.client.core import ClientCore
 from walkloom.client.errors import Failed
 from walkloom.client.metrics import Figures
-from walkloom.client.session import Session as Machine
-from walkloom.client.session import State
-from walkloom.client.settings import ClassPolicy, Limits, address
-from walkloom.client.wire import encoded
+from walkloom.client.session import Session as CoreSession
+from walkloom.client.session import SessionState
+from walkloom.client.settings import ClassPolicy, Limits, parse_address
+from walkloom.client.wire import encode_line
 
-LINGER_S = 1.0  # how long a connection that was closed gently may take to write its rest
+FLUSH_TIMEOUT_S = 1.0  # for a connection that is closed after what is unwritten
 
 
 class Event(Protocol):
-    def set(self) -> None: ...
-    async def wait(self) -> object: ...
+    """An event of the loop; set once."""
+
+    def set(self) -> None:
+        """Wake all that wait."""
+
+    async def wait(self) -> object:
+        """Wait until it is set."""
 
 
 class Connection(Protocol):
-    """One connection, from its making to its end; it tells the core what happens to it."""
+    """One connection from its opening to its end; it reports to the core what happens to it."""
 
-    conn: int
+    connection_id: int
 
-    def write(self, data: bytes) -> None: ...
-    def read_on(self) -> None:
-        """The caller has received: there may be room to read again."""
+    def write(self, data: bytes) -> None:
+        """Write the bytes, now or when there is room."""
 
-    def hang(self, gently: bool) -> None:
-        """Ends it at once (gently: after what is unwritten), whatever it is about, and tells nothing more."""
+    def resume_reading(self) -> None:
+        """Read again if there is room, because the caller has received."""
+
+    def disconnect(self, flush: bool) -> None:
+        """Close it, whatever it is doing, and report nothing more.
+
+        flush: write what is unwritten first, within FLUSH_TIMEOUT_S.
+        """
 
 
 class BaseClient(ABC):
     """A client of walkloom's balancers, as an async context manager; its end closes all its sessions.
 
-    balancers: `host:port` each. classes: at least one. seed: of all that is drawn by chance.
-    Exceptions: see `walkloom.client.errors`; ValueError for settings that make no sense.
+    balancers: `host:port` each. classes: at least one. seed: of everything drawn by chance.
+    Raises ValueError for settings that make no sense; see `walkloom.client.errors` for the rest.
     """
 
     def __init__(
@@ -52,9 +65,10 @@
         seed: int | None = None,
     ) -> None:
         self.limits = limits or Limits()
-        self.core = c.ClientCore([address(b) for b in balancers], classes, self.limits, seed)
-        self.connections: dict[int, Connection] = {}  # by their session's number
-        self._waiting: dict[int, Event] = {}  # callers, by their session's number
+        addresses = [parse_address(balancer) for balancer in balancers]
+        self.core = ClientCore(addresses, classes, self.limits, seed)
+        self.connections: dict[int, Connection] = {}  # by session id
+        self._waiters: dict[int, Event] = {}  # by session id
 
     @abstractmethod
     async def __aenter__(self) -> Self: ...
@@ -64,21 +78,23 @@
 
     @abstractmethod
     def now(self) -> float:
-        """Ms of the loop's monotonic clock."""
+        """Return the loop's monotonic clock in ms."""
 
     @abstractmethod
-    def _event(self) -> Event: ...
+    def _event(self) -> Event:
+        """Return a new event of the loop."""
 
     @abstractmethod
     async def _checkpoint(self) -> None:
-        """Lets others run, and a cancellation arrive."""
+        """Let other tasks run, and a cancellation arrive."""
 
     @abstractmethod
-    def _dial(self, session: Machine, conn: int, to: tuple[str, int]) -> Connection: ...
+    def _connect(self, session: CoreSession, connection_id: int, address: tuple[str, int]) -> Connection:
+        """Start to open a connection."""
 
     @abstractmethod
-    def _ring_at(self, at: float) -> None:
-        """`step` is wanted at that time (infinite: not at all), instead of the time told before."""
+    def _schedule_step(self, at: float) -> None:
+        """Call `step` at that time (ms; infinite: never), instead of the time scheduled before."""
 
     async def open(
         self,
@@ -90,143 +106,155 @@
         load: float | None = None,
         returns: bool = True,
     ) -> Session:
-        """A session that stands. Within the class's give-up time it is there, or an error is raised.
+        """Open a session: within the class's timeout it is established, or an error is raised.
 
-        key, group: 64 bits; they go with every try and every return. load: a guess, in ms of work a second.
-        returns: whether it comes back by itself after a move or a break.
-        Raises Refused, TimedOut, Failed or TooMany; ValueError for a class that the client does not know.
+        key, group: 64 bits; they go with every attempt and every reconnect.
+        load: a guess at its load, in ms of work a second.
+        returns: whether the session reconnects by itself after a migration or a break.
+        Raises Rejected, TimedOut, Failed or TooMany; ValueError for an unknown class.
         """
-        machine = self.core.open(
+        session = self.core.open(
             self.now(), cls, tenant=tenant, group=group, key=key, load=load, returns=returns
         )
         try:
             self.step()
-            while machine.state in (State.WAITING, State.TRYING):
-                await self.changed(machine)
+            while session.state in (SessionState.QUEUED, SessionState.CONNECTING):
+                await self.wait_for_change(session)
             await self._checkpoint()
         except BaseException:  # the caller waits no more, for whatever reason: nobody else would close it
-            self.close(machine)
+            self.close(session)
             raise
-        if not machine.opened and machine.error:
-            raise machine.error
-        return Session(self, machine)
+        if not session.was_established and session.error:
+            raise session.error
+        return Session(self, session)
 
     def figures(self) -> Figures:
-        """Counters and histograms since the client's start."""
+        """Return counters and histograms since the client's start."""
         return self.core.figures()
 
     def step(self) -> None:
-        """Does what the core wants done, and sees that it is asked again in time."""
+        """Carry out the core's commands, and schedule the next step."""
         for command in self.core.poll(self.now()):
             match command:
-                case c.Dial(machine, conn, to):
-                    self.connections[machine.number] = self._dial(machine, conn, to)
-                case c.Write(machine, conn, data):
-                    if connection := self._find(machine, conn):
+                case Connect(session, connection_id, address):
+                    self.connections[session.session_id] = self._connect(session, connection_id, address)
+                case Write(session, connection_id, data):
+                    if connection := self._find(session, connection_id):
                         connection.write(data)
-                case c.Hang(machine, conn, gently):
-                    if connection := self._find(machine, conn):
-                        del self.connections[machine.number]
-                        connection.hang(gently)
-                case c.Wake(machine):
-                    self.wake(machine)
-        self._ring_at(self.core.wake_at())
-
-    def _find(self, machine: Machine, conn: int) -> Connection | None:
-        connection = self.connections.get(machine.number)
-        return connection if connection and connection.conn == conn else None
-
-    def _hang_all(self) -> None:
-        connections, self.connections = self.connections, {}
+                case Disconnect(session, connection_id, flush):
+                    if connection := self._find(session, connection_id):
+                        del self.connections[session.session_id]
+                        connection.disconnect(flush)
+                case Notify(session):
+                    self.notify(session)
+        self._schedule_step(self.core.next_wake_at())
+
+    def _find(self, session: CoreSession, connection_id: int) -> Connection | None:
+        connection = self.connections.get(session.session_id)
+        return connection if connection and connection.connection_id == connection_id else None
+
+    def _disconnect_all(self) -> None:
+        connections = self.connections
+        self.connections = {}
         for connection in connections.values():
-            connection.hang(gently=False)
-
-    async def changed(self, machine: Machine) -> None:
-        if machine.number not in self._waiting:
-            self._waiting[machine.number] = self._event()
-        await self._waiting[machine.number].wait()
-
-    def wake(self, machine: Machine) -> None:
-        event = self._waiting.pop(machine.number, None)
-        if event is not None:  # a trio event has no truth
+            connection.disconnect(flush=False)
+
+    async def wait_for_change(self, session: CoreSession) -> None:
+        """Wait for the session's next notification."""
+        if session.session_id not in self._waiters:
+            self._waiters[session.session_id] = self._event()
+        await self._waiters[session.session_id].wait()
+
+    def notify(self, session: CoreSession) -> None:
+        """Wake whoever waits for the session."""
+        event = self._waiters.pop(session.session_id, None)
+        if event is not None:  # a trio event has no truth value
             event.set()
 
-    def close(self, machine: Machine) -> None:
-        self.core.close(machine, self.now())
+    def close(self, session: CoreSession) -> None:
+        """End the session."""
+        self.core.close(session, self.now())
         self.step()
 
-    async def send(self, machine: Machine, line: str) -> None:
-        encoded(line)  # a wrong line is told at once, not when the session is back
+    async def send(self, session: CoreSession, line: str) -> None:
+        """Send a line when there is room for it; see `Session.send`."""
+        encode_line(line)  # an invalid line is reported at once, not after a reconnect
         await self._checkpoint()
-        while not self.core.may_send(machine):
-            if machine.state is State.OVER:
-                raise machine.error or Failed("the session is over")
-            await self.changed(machine)
-        self.core.send(machine, line, self.now())
+        while not self.core.may_send(session):
+            if session.state is SessionState.CLOSED:
+                raise session.error or Failed("the session is over")
+            await self.wait_for_change(session)
+        self.core.send(session, line, self.now())
         self.step()
 
-    async def receive(self, machine: Machine) -> str | None:
+    async def receive(self, session: CoreSession) -> str | None:
+        """Wait for the next line; see `Session.receive`."""
         await self._checkpoint()
-        while not self.core.has_news(machine):
-            await self.changed(machine)
+        while not self.core.has_pending(session):
+            await self.wait_for_change(session)
         try:
-            return self.core.take(machine)
+            return self.core.take_pending(session)
         finally:
-            if connection := self.connections.get(machine.number):
-                connection.read_on()
+            if connection := self.connections.get(session.session_id):
+                connection.resume_reading()
 
 
 class Session:
-    """A session, as `Client.open` returns it; an async context manager. One task may send, another
-    receive."""
+    """A session, as `Client.open` returns it; an async context manager.
+
+    One task may send while another receives.
+    """
 
-    def __init__(self, client: BaseClient, machine: Machine) -> None:
-        self._client, self._machine = client, machine
+    def __init__(self, client: BaseClient, core_session: CoreSession) -> None:
+        self._client = client
+        self._core_session = core_session
 
     @property
     def receipt(self) -> str:
-        """What the server's newest UP line told."""
-        return self._machine.receipt
+        """What the server's newest `UP` line said."""
+        return self._core_session.receipt
 
     @property
     def load(self) -> float | None:
-        """The connection's load as its server told it last, in ms of work a second."""
-        return self._machine.load
+        """The connection's load as its server reported it last, in ms of work a second."""
+        return self._core_session.load
 
     @property
     def standing(self) -> bool:
-        """Whether it is connected now; False while it comes back, and when it is over."""
-        return self._machine.state is State.UP
+        """Whether it is established now; False while it reconnects and when it is closed."""
+        return self._core_session.state is SessionState.ESTABLISHED
 
     async def send(self, line: str) -> None:
-        """Hands one line over, whole or (when cancelled) not at all. Waits while the session is coming
-        back, or
-        while as many lines as `Limits.lines_out` have no answer.
+        """Send one line, whole or (when cancelled) not at all.
 
-        Raises ValueError for what is no line, and what ended the session if it is over."""
-        await self._client.send(self._machine, line)
+        Waits while the session reconnects, or while `Limits.lines_out` lines are unanswered.
+        Raises ValueError if it is no line, and what ended the session if it is closed.
+        """
+        await self._client.send(self._core_session, line)
 
     async def receive(self) -> str | None:
-        """The next line from the server; None once it has ended the session in order.
+        """Return the next line from the server; None once it has ended the session regularly.
 
-        Raises Interrupted where lines were left without an answer; after that, receive goes on. Raises what
-        ended the session if it is over for another reason."""
-        return await self._client.receive(self._machine)
+        Raises Interrupted if lines were left unanswered; after that, receive goes on. Raises what ended the
+        session if it is closed for another reason.
+        """
+        return await self._client.receive(self._core_session)
 
     def __aiter__(self) -> Self:
         return self
 
     async def __anext__(self) -> str:
-        if (line := await self.receive()) is None:
+        line = await self.receive()
+        if line is None:
             raise StopAsyncIteration
         return line
 
     async def aclose(self) -> None:
-        """Ends the session; what was sent before is still on its way. Harmless when it is over."""
-        self._client.close(self._machine)
+        """End the session; what was sent before is still written. Harmless if it is closed."""
+        self._client.close(self._core_session)
 
     async def __aenter__(self) -> Self:
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        self._client.close(self._machine)
+        self._client.close(self._core_session)
--- a/walkloom/client/errors.py
+++ b/walkloom/client/errors.py
@@ -1,47 +1,69 @@
-"""What the library raises. Every error is a ClientError; the docs list them in one table."""
+"""The exceptions of the client library.
+
+    ClientError
+    +-- Rejected        a balancer, or the admission gate of the request's class, turned the request down
+    +-- TimedOut        the request's deadline leaves no time for another attempt
+    +-- Failed          the request, or the session for good, failed
+    +-- TooMany         the client's limit of sessions is reached
+    +-- Interrupted     an established session lost its connection with lines unanswered
+    +-- ProtocolError   the peer does not speak the line protocol
+
+Every message is one sentence for a person. `Refused` is the former name of `Rejected` and stays for one
+release.
+"""
 
 from __future__ import annotations
 
 
 class ClientError(Exception):
-    """Base of all that this library raises on purpose; the text is one sentence for a person."""
+    """Base class of everything that the library raises on purpose."""
 
 
-class Refused(ClientError):
-    """The request was refused, by a balancer or ahead of one that has asked for patience.
+class Rejected(ClientError):
+    """A balancer, or the admission gate after an earlier rejection, turned the request down.
 
-    retry_after: milliseconds from the raise after which trying again makes sense; 0.0 where nobody told one.
+    Attributes:
+        retry_after: milliseconds from the raise after which a retry makes sense; 0.0 if none was given.
     """
 
     def __init__(self, retry_after: float) -> None:
-        super().__init__(f"refused; come again in {retry_after:.0f} ms" if retry_after else "refused")
+        super().__init__(f"rejected; retry after {retry_after:.0f} ms" if retry_after else "rejected")
         self.retry_after = retry_after
 
 
+Refused = Rejected
+
+
 class TimedOut(ClientError):
-    """The class's give-up time is over, or so little of it is left that no try could finish."""
+    """The deadline of the request has passed, or is too close for another attempt to finish."""
 
 
 class Failed(ClientError):
-    """The request failed, or the session ended for good; the text says why."""
+    """The request failed, or the session ended for good; the message says why."""
 
 
 class TooMany(ClientError):
-    """The client holds as many sessions as `Limits.sessions` allows."""
+    """The client already holds `Limits.sessions` sessions."""
 
 
 class Interrupted(ClientError):
-    """A standing session was moved or broke with lines that had no answer yet. Raised once, by `receive`.
+    """An established session was migrated or broke while lines were unanswered.
+
+    `receive` raises it once; call `receive` again to go on. The server may have processed the unanswered
+    lines; the library never sends them again.
 
-    unanswered: those lines, oldest first, as they were given to `send`. The server may have seen them; the
-    library never sends them again. Call `receive` again to go on: the session is coming back, unless `over`.
-    why: "moved" or what broke. over: the session does not come back (`returns=False`).
+    Attributes:
+        unanswered: those lines, oldest first, as they were given to `send`.
+        why: "moved" for a migration, otherwise what broke.
+        over: whether the session ends here (`open(..., returns=False)`) instead of reconnecting.
     """
 
     def __init__(self, unanswered: tuple[str, ...], why: str, over: bool = False) -> None:
         super().__init__(f"{why}; {len(unanswered)} lines have no answer")
-        self.unanswered, self.why, self.over = unanswered, why, over
+        self.unanswered = unanswered
+        self.why = why
+        self.over = over
 
 
 class ProtocolError(ClientError):
-    """Bytes that no balancer sends: an over-long line, or one that is not text."""
+    """The peer sent bytes that no balancer sends: a line that is too long, or not text."""
--- a/walkloom/client/metrics.py
+++ b/walkloom/client/metrics.py
@@ -1,107 +1,199 @@
-"""What one client has seen: counters, and histograms of set-up time and line delay for each class."""
+"""Metrics of one client: counters, and histograms of set-up time and line delay for each class.
+
+Names of the first release (`up`, `refused`, `tries`, ...) stay readable beside the new ones for one release.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-_LONGEST_US = 600_000_000
-_DIGITS = 2  # of a histogram's values; three would cost eight times the memory
+MAX_RECORDED_US = 600_000_000  # ten minutes, as the longest request
+SIGNIFICANT_DIGITS = 2  # three would cost eight times the memory
 
 
 @dataclass(slots=True)
 class Counters:
-    """Since the client's start. A request ends as one of up, refused, timed_out, failed and abandoned."""
+    """Counts since the client's start.
+
+    A request ends as one of established, rejected, timed_out, failed and abandoned.
+    """
 
     requests: int = 0
-    up: int = 0
-    refused: int = 0
+    established: int = 0
+    rejected: int = 0
     timed_out: int = 0
     failed: int = 0
     abandoned: int = 0  # by the caller
-    tries: int = 0
-    retries: int = 0  # tries of a request after its first, and returns after a round that failed
-    no_budget: int = 0  # retries that the budget did not allow
-    held: int = 0  # times that a refusal held a class, or longer
-    left_out: int = 0  # times that a balancer was left out
-    moved: int = 0
-    broken: int = 0
-    returned: int = 0
-    lost: int = 0  # sessions that did not come back
+    attempts: int = 0
+    retries: int = 0  # attempts of a request after its first, and of a reconnect after one that failed
+    budget_exhausted: int = 0  # retries that the budget did not allow
+    gate_closures: int = 0  # times that a rejection closed a class's admission gate, or for longer
+    ejections: int = 0  # times that a balancer was ejected
+    migrated: int = 0  # connections that the server asked to reconnect elsewhere
+    broken: int = 0  # connections that ended without a goodbye
+    reconnected: int = 0
+    lost: int = 0  # sessions that could not reconnect
     lines_sent: int = 0
     lines_received: int = 0
-    late_ms: float = (
-        0.0  # the latest end of a try after its time: the event loop's delay, not a try begun late
-    )
+    max_late_ms: float = 0.0  # the latest end of an attempt after its deadline: the event loop's delay
+
+    @property
+    def up(self) -> int:
+        """Former name of `established`."""
+        return self.established
+
+    @property
+    def refused(self) -> int:
+        """Former name of `rejected`."""
+        return self.rejected
+
+    @property
+    def tries(self) -> int:
+        """Former name of `attempts`."""
+        return self.attempts
+
+    @property
+    def no_budget(self) -> int:
+        """Former name of `budget_exhausted`."""
+        return self.budget_exhausted
+
+    @property
+    def held(self) -> int:
+        """Former name of `gate_closures`."""
+        return self.gate_closures
+
+    @property
+    def left_out(self) -> int:
+        """Former name of `ejections`."""
+        return self.ejections
+
+    @property
+    def moved(self) -> int:
+        """Former name of `migrated`."""
+        return self.migrated
+
+    @property
+    def returned(self) -> int:
+        """Former name of `reconnected`."""
+        return self.reconnected
+
+    @property
+    def late_ms(self) -> float:
+        """Former name of `max_late_ms`."""
+        return self.max_late_ms
 
 
 @dataclass(frozen=True, slots=True)
 class Spread:
-    """Of one histogram, in ms, to two digits."""
+    """Percentiles of one histogram, in ms, to two digits."""
 
     count: int
     p50: float
     p90: float
     p99: float
-    most: float
+    max: float
+
+    @property
+    def most(self) -> float:
+        """Former name of `max`."""
+        return self.max
 
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """One look at a client: `Client.figures()`."""
+    """A snapshot of one client, as `Client.figures()` returns it."""
 
     counters: Counters
-    sessions: int  # that are not over
-    standing: int
-    setup: dict[str, Spread]  # by class; from the request's begin to UP
-    delay: dict[str, Spread]  # by class; from a line to its answer
+    sessions: int  # that are not closed
+    established: int
+    setup_times: dict[str, Spread]  # by class; from the start of the request until it is established
+    line_delays: dict[str, Spread]  # by class; from a line to its answer
+
+    @property
+    def standing(self) -> int:
+        """Former name of `established`."""
+        return self.established
+
+    @property
+    def setup(self) -> dict[str, Spread]:
+        """Former name of `setup_times`."""
+        return self.setup_times
+
+    @property
+    def delay(self) -> dict[str, Spread]:
+        """Former name of `line_delays`."""
+        return self.line_delays
 
 
 class Histogram:
-    """Delays in ms, to two digits; may be sent between processes and added up."""
+    """Delays in ms, to two digits.
+
+    It can be pickled, and merged with others.
+    """
 
     def __init__(self) -> None:
-        self._of = HdrHistogram(1, _LONGEST_US, _DIGITS)
+        self._histogram = HdrHistogram(1, MAX_RECORDED_US, SIGNIFICANT_DIGITS)
 
     def add(self, ms: float) -> None:
-        self._of.record_value(max(min(int(ms * 1000.0), _LONGEST_US), 1))
+        """Record one delay."""
+        self._histogram.record_value(max(min(int(ms * 1000.0), MAX_RECORDED_US), 1))
 
     def merge(self, other: Histogram) -> None:
-        self._of.add(other._of)
+        """Add all delays of another histogram."""
+        self._histogram.add(other._histogram)
 
     @property
     def count(self) -> int:
-        return int(self._of.get_total_count())
+        """How many delays were recorded."""
+        return int(self._histogram.get_total_count())
 
     def at(self, percentile: float) -> float:
-        """Ms; 0.0 where nothing was counted."""
-        return float(self._of.get_value_at_percentile(percentile)) / 1000.0 if self.count else 0.0
+        """Return a percentile (0 to 100) in ms; 0.0 if nothing was recorded."""
+        if not self.count:
+            return 0.0
+        return float(self._histogram.get_value_at_percentile(percentile)) / 1000.0
 
     def spread(self) -> Spread:
+        """Return the usual percentiles."""
         return Spread(self.count, self.at(50.0), self.at(90.0), self.at(99.0), self.at(100.0))
 
     def __getstate__(self) -> bytes:
-        return bytes(self._of.encode())
+        return bytes(self._histogram.encode())
 
     def __setstate__(self, state: bytes) -> None:
-        self._of = HdrHistogram.decode(state)
+        self._histogram = HdrHistogram.decode(state)
 
 
 @dataclass(slots=True)
-class Seen:
-    counters: Counters = field(default_factory=Counters)
-    setup: dict[str, Histogram] = field(default_factory=dict)  # as each class is first seen
-    delay: dict[str, Histogram] = field(default_factory=dict)
+class Metrics:
+    """The counters and histograms of one client."""
 
-    def set_up(self, cls: str, ms: float) -> None:
-        self._in(self.setup, cls).add(ms)
-
-    def line(self, cls: str, ms: float) -> None:
-        self._in(self.delay, cls).add(ms)
+    counters: Counters = field(default_factory=Counters)
+    setup_times: dict[str, Histogram] = field(default_factory=dict)  # as each class is first seen
+    line_delays: dict[str, Histogram] = field(default_factory=dict)
+
+    def record_setup(self, class_name: str, duration_ms: float) -> None:
+        """Record how long a request took to be established."""
+        self._of_class(self.setup_times, class_name).add(duration_ms)
+
+    def record_line_delay(self, class_name: str, delay_ms: float) -> None:
+        """Record how long a line waited for its answer."""
+        self._of_class(self.line_delays, class_name).add(delay_ms)
+
+    def snapshot(self, sessions: int, established: int) -> Figures:
+        """Return a copy for the user."""
+        return Figures(
+            replace(self.counters),
+            sessions,
+            established,
+            {name: histogram.spread() for name, histogram in self.setup_times.items()},
+            {name: histogram.spread() for name, histogram in self.line_delays.items()},
+        )
 
     @staticmethod
-    def _in(histograms: dict[str, Histogram], cls: str) -> Histogram:
-        if cls not in histograms:
-            histograms[cls] = Histogram()
-        return histograms[cls]
+    def _of_class(histograms: dict[str, Histogram], class_name: str) -> Histogram:
+        if class_name not in histograms:  # not `setdefault`: a histogram costs kilobytes
+            histograms[class_name] = Histogram()
+        return histograms[class_name]
--- a/walkloom/client/on_asyncio.py
+++ b/walkloom/client/on_asyncio.py
@@ -5,7 +5,7 @@
             await session.send("sheet 17")
             print(await session.receive())
 
-A protocol object for each connection, and a task only while it is made; one timer for the whole client.
+A protocol object for each connection, and a task only while it is opened; one timer for the whole client.
 """
 
 from __future__ import annotations
@@ -14,9 +14,9 @@
 import math
 from typing import Self
 
-from walkloom.client.driver import LINGER_S, BaseClient, Session
-from walkloom.client.session import Session as Machine
-from walkloom.client.wire import CHUNK
+from walkloom.client.driver import FLUSH_TIMEOUT_S, BaseClient, Session
+from walkloom.client.session import Session as CoreSession
+from walkloom.client.wire import READ_CHUNK_BYTES
 
 __all__ = ["Client", "Session"]
 
@@ -27,13 +27,13 @@
     async def __aenter__(self) -> Self:
         self.loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
-        self._at = math.inf
-        self.buffer = memoryview(bytearray(CHUNK))  # for all reads: each is used up before the next
+        self._step_at = math.inf
+        self.buffer = memoryview(bytearray(READ_CHUNK_BYTES))  # of all reads: each is used before the next
         return self
 
     async def __aexit__(self, *_: object) -> None:
         self._set_timer(math.inf)
-        self._hang_all()
+        self._disconnect_all()
         await asyncio.sleep(0)  # the sockets close in the loop's next round
 
     def now(self) -> float:
@@ -45,64 +45,74 @@
     async def _checkpoint(self) -> None:
         await asyncio.sleep(0)
 
-    def _dial(self, session: Machine, conn: int, to: tuple[str, int]) -> _Connection:
-        return _Connection(self, session, conn, to)
+    def _connect(self, session: CoreSession, connection_id: int, address: tuple[str, int]) -> _Connection:
+        return _Connection(self, session, connection_id, address)
 
-    def _ring_at(self, at: float) -> None:
-        if at < self._at or at == math.inf:
+    def _schedule_step(self, at: float) -> None:
+        if at < self._step_at or at == math.inf:
             self._set_timer(at)
 
     def _set_timer(self, at: float) -> None:
         if self._timer:
             self._timer.cancel()
-        self._at = at
-        self._timer = self.loop.call_at(at / 1000.0, self._ring) if at < math.inf else None
+        self._step_at = at
+        self._timer = self.loop.call_at(at / 1000.0, self._timer_fired) if at < math.inf else None
 
-    def _ring(self) -> None:
-        self._at, self._timer = math.inf, None
+    def _timer_fired(self) -> None:
+        self._step_at = math.inf
+        self._timer = None
         self.step()
 
 
 class _Connection(asyncio.BufferedProtocol):
-    def __init__(self, client: Client, machine: Machine, conn: int, to: tuple[str, int]) -> None:
-        self.client, self.machine, self.conn = client, machine, conn
+    """One connection; the method names are those of `asyncio.BufferedProtocol` and `driver.Connection`."""
+
+    def __init__(
+        self, client: Client, session: CoreSession, connection_id: int, address: tuple[str, int]
+    ) -> None:
+        self.client = client
+        self.session = session
+        self.connection_id = connection_id
         self._transport: asyncio.Transport | None = None
-        self._over = self._paused = False
-        self._dialling = client.loop.create_task(self._dial(to))
+        self._disconnected = False
+        self._reading_paused = False
+        self._opening = client.loop.create_task(self._open(address))
 
-    async def _dial(self, to: tuple[str, int]) -> None:
-        core, now = self.client.core, self.client.now
+    async def _open(self, address: tuple[str, int]) -> None:
+        client = self.client
         try:
-            await self.client.loop.create_connection(lambda: self, *to)
+            await client.loop.create_connection(lambda: self, *address)
         except OSError as error:
-            core.not_connected(self.machine, self.conn, now(), f"cannot connect: {error.strerror or error}")
+            reason = f"cannot connect: {error.strerror or error}"
+            client.core.connect_failed(self.session, self.connection_id, client.now(), reason)
         else:
-            core.connected(self.machine, self.conn, now())
-        self.client.step()
+            client.core.connection_made(self.session, self.connection_id, client.now())
+        client.step()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=self.client.limits.bytes_out)
-        if self._over:  # hung up in the moment in which it came up
+        if self._disconnected:  # in the moment in which it opened
             transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.client.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._over:
+        if self._disconnected:
             return
-        core = self.client.core
-        core.received(self.machine, self.conn, bytes(self.client.buffer[:nbytes]), self.client.now())
-        if not core.wants_data(self.machine) and self._transport:
-            self._paused = True
+        client = self.client
+        data = bytes(client.buffer[:nbytes])
+        client.core.data_received(self.session, self.connection_id, data, client.now())
+        if not client.core.wants_data(self.session) and self._transport:
+            self._reading_paused = True
             self._transport.pause_reading()
-        self.client.step()
+        client.step()
 
-    def read_on(self) -> None:
-        if self._paused and self._transport and self.client.core.wants_data(self.machine):
-            self._paused = False
+    def resume_reading(self) -> None:
+        if self._reading_paused and self._transport and self.client.core.wants_data(self.session):
+            self._reading_paused = False
             self._transport.resume_reading()
 
     def eof_received(self) -> bool:
@@ -112,9 +122,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._ended(f"the connection broke: {error}" if error else "")
 
-    def _ended(self, why: str) -> None:
-        if not self._over:
-            self.client.core.ended(self.machine, self.conn, self.client.now(), why)
+    def _ended(self, reason: str) -> None:
+        if not self._disconnected:
+            self.client.core.connection_ended(self.session, self.connection_id, self.client.now(), reason)
             self.client.step()
 
     def write(self, data: bytes) -> None:
@@ -122,20 +132,20 @@
         self._transport.write(data)
 
     def pause_writing(self) -> None:
-        if not self._over:
-            self.machine.clogged = True
+        if not self._disconnected:
+            self.session.write_blocked = True
 
     def resume_writing(self) -> None:
-        if not self._over:
-            self.machine.clogged = False
-            self.client.wake(self.machine)
+        if not self._disconnected:
+            self.session.write_blocked = False
+            self.client.notify(self.session)
 
-    def hang(self, gently: bool) -> None:
-        self._over = True
+    def disconnect(self, flush: bool) -> None:
+        self._disconnected = True
         if self._transport is None:
-            self._dialling.cancel()
-        elif gently and self._transport.get_write_buffer_size():
+            self._opening.cancel()
+        elif flush and self._transport.get_write_buffer_size():
             self._transport.close()
-            self.client.loop.call_later(LINGER_S, self._transport.abort)
+            self.client.loop.call_later(FLUSH_TIMEOUT_S, self._transport.abort)
         else:
             self._transport.abort()
--- a/walkloom/client/on_trio.py
+++ b/walkloom/client/on_trio.py
@@ -5,8 +5,8 @@
             await session.send("sheet 17")
             print(await session.receive())
 
-One task for each connection, which makes it and reads it; one for the client's clock. What is written goes to
-the socket at once; only where that does not take it all, a task writes the rest.
+One task for each connection, which opens and reads it; one for the client's timer. What is written goes to
+the socket at once; only if the socket does not take it all, a task writes the rest.
 """
 
 from __future__ import annotations
@@ -20,29 +20,30 @@
 
 import trio
 
-from walkloom.client.driver import LINGER_S, BaseClient, Session
-from walkloom.client.session import Session as Machine
-from walkloom.client.wire import CHUNK
+from walkloom.client.driver import FLUSH_TIMEOUT_S, BaseClient, Session
+from walkloom.client.session import Session as CoreSession
+from walkloom.client.wire import READ_CHUNK_BYTES
 
 __all__ = ["Client", "Session"]
-log = logging.getLogger("walkloom.client")
+logger = logging.getLogger("walkloom.client")
 
 
 class Client(BaseClient):
     __doc__ = BaseClient.__doc__
 
     async def __aenter__(self) -> Self:
-        self._earlier, self._at = trio.Event(), math.inf
-        self._manager = trio.open_nursery()
-        self.nursery = await self._manager.__aenter__()
-        self.nursery.start_soon(self._keep_time)
+        self._rescheduled = trio.Event()
+        self._step_at = math.inf
+        self._nursery_manager = trio.open_nursery()
+        self.nursery = await self._nursery_manager.__aenter__()
+        self.nursery.start_soon(self._run_timer)
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        self._hang_all()
+        self._disconnect_all()
         self.nursery.cancel_scope.cancel()
         # the caller's own exception goes on as it is, not within a group of the nursery's
-        await self._manager.__aexit__(None, None, None)
+        await self._nursery_manager.__aexit__(None, None, None)
 
     def now(self) -> float:
         return trio.current_time() * 1000.0
@@ -53,76 +54,88 @@
     async def _checkpoint(self) -> None:
         await trio.lowlevel.checkpoint()
 
-    def _dial(self, session: Machine, conn: int, to: tuple[str, int]) -> _Connection:
-        connection = _Connection(self, session, conn)
-        self.nursery.start_soon(connection.live, to)
+    def _connect(self, session: CoreSession, connection_id: int, address: tuple[str, int]) -> _Connection:
+        connection = _Connection(self, session, connection_id)
+        self.nursery.start_soon(connection.run, address)
         return connection
 
-    def _ring_at(self, at: float) -> None:
-        if at < self._at:
-            self._earlier.set()
+    def _schedule_step(self, at: float) -> None:
+        if at < self._step_at:
+            self._rescheduled.set()
 
-    async def _keep_time(self) -> None:
+    async def _run_timer(self) -> None:
         while True:
-            self._earlier = trio.Event()
-            self._at = self.core.wake_at()
-            with trio.move_on_after(max(self._at - self.now(), 0.0) / 1000.0):
-                await self._earlier.wait()
+            self._rescheduled = trio.Event()
+            self._step_at = self.core.next_wake_at()
+            with trio.move_on_after(max(self._step_at - self.now(), 0.0) / 1000.0):
+                await self._rescheduled.wait()
             self.step()
 
 
 class _Connection:
-    def __init__(self, client: Client, machine: Machine, conn: int) -> None:
-        self.client, self.machine, self.conn = client, machine, conn
+    """One connection, as `driver.Connection`."""
+
+    def __init__(self, client: Client, session: CoreSession, connection_id: int) -> None:
+        self.client = client
+        self.session = session
+        self.connection_id = connection_id
         self._scope = trio.CancelScope()
-        self._sock: socket.socket | None = None
-        self._out = bytearray()  # unwritten
-        self._room = trio.Event()
+        self._socket: socket.socket | None = None
+        self._unwritten = bytearray()
+        self._may_read = trio.Event()
 
-    async def live(self, to: tuple[str, int]) -> None:
-        core, now = self.client.core, self.client.now
+    async def run(self, address: tuple[str, int]) -> None:
+        """Open the connection and read it to its end."""
+        client = self.client
         with self._scope:
             try:
-                await self._connect(to)
+                await self._open(address)
             except OSError as error:
-                core.not_connected(
-                    self.machine, self.conn, now(), f"cannot connect: {error.strerror or error}"
-                )
+                reason = f"cannot connect: {error.strerror or error}"
+                client.core.connect_failed(self.session, self.connection_id, client.now(), reason)
             else:
-                core.connected(self.machine, self.conn, now())
-                self.client.step()
-                try:
-                    why = await self._read()
-                except Exception as error:  # guards the other sessions: a fault of ours ends this connection
-                    log.exception("connection-crashed session=%s", self.machine.name)
-                    why = repr(error)
-                core.ended(self.machine, self.conn, now(), why)
-            self.client.step()
-
-    async def _connect(self, to: tuple[str, int]) -> None:
-        family, kind, proto, _, where = (await trio.socket.getaddrinfo(*to, type=socket.SOCK_STREAM))[0]
-        self._sock = sock = socket.socket(family, kind, proto)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a line waits for no ACK of another
-        if (code := sock.connect_ex(where)) not in (0, errno.EINPROGRESS):
+                client.core.connection_made(self.session, self.connection_id, client.now())
+                client.step()
+                reason = await self._read_guarded()
+                client.core.connection_ended(self.session, self.connection_id, client.now(), reason)
+            client.step()
+
+    async def _open(self, address: tuple[str, int]) -> None:
+        candidates = await trio.socket.getaddrinfo(*address, type=socket.SOCK_STREAM)
+        family, kind, protocol, _, resolved = candidates[0]
+        self._socket = socket.socket(family, kind, protocol)
+        new_socket = self._socket
+        new_socket.setblocking(False)
+        new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # a line waits for no ACK of another
+        code = new_socket.connect_ex(resolved)
+        if code not in (0, errno.EINPROGRESS):
             raise OSError(code, os.strerror(code))
-        await trio.lowlevel.wait_writable(sock)
-        if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        await trio.lowlevel.wait_writable(new_socket)
+        code = new_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
             raise OSError(code, os.strerror(code))
 
+    async def _read_guarded(self) -> str:
+        """Read to the end; guards the other sessions against a fault of the library in this one."""
+        try:
+            return await self._read()
+        except Exception as error:
+            logger.exception("connection_crashed session=%s", self.session.name)
+            return repr(error)
+
     async def _read(self) -> str:
-        """Until the other side ends; why, if not in order."""
-        core = self.client.core
-        while self._sock:  # it is closed by `hang`, also from within this very task
+        """Read until the other side ends the connection; return what broke it, empty if nothing."""
+        client = self.client
+        while self._socket:  # `disconnect` closes it, also from within this very task
             try:
-                await trio.lowlevel.wait_readable(self._sock)
-                if self._sock is None:  # between the wake-up and now
+                await trio.lowlevel.wait_readable(self._socket)
+                if self._socket is None:  # closed between the wake-up and now
                     break
-                if not core.wants_data(self.machine):
-                    self._room = trio.Event()
-                    await self._room.wait()
+                if not client.core.wants_data(self.session):
+                    self._may_read = trio.Event()
+                    await self._may_read.wait()
                     continue
-                data = self._sock.recv(CHUNK)
+                data = self._socket.recv(READ_CHUNK_BYTES)
             except BlockingIOError:
                 continue
             except trio.ClosedResourceError:
@@ -131,57 +144,60 @@
                 return f"the connection broke: {error.strerror}"
             if not data:
                 return ""
-            core.received(self.machine, self.conn, data, self.client.now())
-            self.client.step()
+            client.core.data_received(self.session, self.connection_id, data, client.now())
+            client.step()
         return ""
 
-    def read_on(self) -> None:
-        self._room.set()
+    def resume_reading(self) -> None:
+        self._may_read.set()
 
     def write(self, data: bytes) -> None:
-        idle = not self._out
-        self._out += data
-        if idle and not self._push():
+        was_idle = not self._unwritten
+        self._unwritten += data
+        if was_idle and not self._write_now():
             self.client.nursery.start_soon(self._write_rest)
-        self.machine.clogged = len(self._out) >= self.client.limits.bytes_out
+        self._update_write_blocked()
 
-    def _push(self) -> bool:
-        """Writes what the socket takes; whether that was all."""
-        assert self._sock
+    def _write_now(self) -> bool:
+        """Write what the socket takes; return whether that was all."""
+        assert self._socket
         try:
-            while self._out:
-                del self._out[: self._sock.send(self._out)]
+            while self._unwritten:
+                del self._unwritten[: self._socket.send(self._unwritten)]
         except BlockingIOError:
             return False
-        except OSError:  # the reading finds and tells what broke
-            self._out.clear()
+        except OSError:  # the reading task finds and reports what broke
+            self._unwritten.clear()
         return True
 
     async def _write_rest(self) -> None:
         try:
-            while self._sock and not self._push():
-                await trio.lowlevel.wait_writable(self._sock)
-                if self.client.connections.get(self.machine.number) is self:
-                    self.machine.clogged = len(self._out) >= self.client.limits.bytes_out
-                    self.client.wake(self.machine)
+            while self._socket and not self._write_now():
+                await trio.lowlevel.wait_writable(self._socket)
+                if self.client.connections.get(self.session.session_id) is self:
+                    self._update_write_blocked()
+                    self.client.notify(self.session)
         except trio.ClosedResourceError:
             return
 
-    async def _linger(self) -> None:
-        with trio.move_on_after(LINGER_S):
+    def _update_write_blocked(self) -> None:
+        self.session.write_blocked = len(self._unwritten) >= self.client.limits.bytes_out
+
+    async def _flush_and_close(self) -> None:
+        with trio.move_on_after(FLUSH_TIMEOUT_S):
             await self._write_rest()
         self._close()
 
-    def hang(self, gently: bool) -> None:
+    def disconnect(self, flush: bool) -> None:
         self._scope.cancel()
-        if gently and self._out:
-            self.client.nursery.start_soon(self._linger)
+        if flush and self._unwritten:
+            self.client.nursery.start_soon(self._flush_and_close)
         else:
             self._close()
 
     def _close(self) -> None:
-        """At once: guards the rule that a request has one try at a time against a task that runs late."""
-        if self._sock:
-            trio.lowlevel.notify_closing(self._sock)
-            self._sock.close()
-            self._sock = None
+        """Close at once: guards the rule of one attempt at a time against a task that runs late."""
+        if self._socket:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+            self._socket = None
--- a/walkloom/client/reconnect_pacer.py
+++ b/walkloom/client/reconnect_pacer.py
@@ -1,8 +1,9 @@
-"""How sessions that were sent away together come back: one after another, the worthiest class first. No I/O.
+"""Paces the reconnects of sessions that lost their connections together, highest priority class first.
 
-They are spread over a window that grows with how many they are: `1 / per_s` for each, but no less than
-`first_ms` and no more than `window_ms` for all. A client with a single session so draws a time from 0 to
-`first_ms` (a shorter one for a class of more worth), which spreads clients that know nothing of each other.
+No I/O. The sessions are spread over a window that grows with their number: `1 / rate_per_s` for each, but
+no less than `initial_spread_ms` and no more than `max_window_ms` for all. A client with a single session so
+draws a time from 0 to `initial_spread_ms` (a shorter one for a class of higher priority), which spreads
+clients that know nothing of each other.
 """
 
 from __future__ import annotations
@@ -13,57 +14,83 @@
 from random import Random
 from typing import Generic, TypeVar
 
-S = TypeVar("S")
+SessionT = TypeVar("SessionT")
 
 
-class Returns(Generic[S]):
+class ReconnectPacer(Generic[SessionT]):
+    """Holds the sessions that wait to reconnect, and releases them one by one.
+
+    class_weights: the priority weight of each class, in the order in which the classes go.
+    """
+
     def __init__(
-        self, classes: Mapping[str, float], per_s: float, first_ms: float, window_ms: float, rng: Random
+        self,
+        class_weights: Mapping[str, float],
+        rate_per_s: float,
+        initial_spread_ms: float,
+        max_window_ms: float,
+        random: Random,
     ) -> None:
-        """classes: with the worth of each, in the order in which they go."""
-        self._queues: dict[str, deque[S]] = {name: deque() for name in classes}
-        least = min(classes.values())
-        self._scale = {name: least / worth for name, worth in classes.items()}  # of the first one's time
-        self._each, self._first, self._window, self._rng = 1000.0 / per_s, first_ms, window_ms, rng
-        self._count = 0  # those that wait
-        # of this burst: when it began, the most that waited at a time, and what was drawn for its first
-        self._began, self._most, self._draw = -math.inf, 0, 0.0
-        self._last_at = -math.inf  # when the newest went
-        self._share = 1.0  # of the gap that the next keeps from it, half to one and a half
+        lowest_weight = min(class_weights.values())
+        self._queues: dict[str, deque[SessionT]] = {name: deque() for name in class_weights}
+        # of the delay of the first one
+        self._delay_factor = {name: lowest_weight / weight for name, weight in class_weights.items()}
+        self._interval_ms = 1000.0 / rate_per_s
+        self._initial_spread_ms = initial_spread_ms
+        self._max_window_ms = max_window_ms
+        self._random = random
+        self._waiting_count = 0
+        # of the current burst: its start, the most that waited at a time, and the draw for its first delay
+        self._burst_started_at = -math.inf
+        self._burst_peak = 0
+        self._first_delay_draw = 0.0
+        self._last_release_at = -math.inf
+        self._gap_factor = 1.0  # of the gap until the next release; drawn from 0.5 to 1.5
 
-    def add(self, cls: str, session: S, now: float) -> None:
-        if not self._count:
-            self._began, self._most, self._draw = now, 0, self._rng.random()
-        self._queues[cls].append(session)
-        self._count += 1
-        self._most = max(self._most, self._count)
+    def add(self, request_class: str, session: SessionT, now: float) -> None:
+        """Queue a session for its reconnect."""
+        if not self._waiting_count:
+            self._burst_started_at = now
+            self._burst_peak = 0
+            self._first_delay_draw = self._random.random()
+        self._queues[request_class].append(session)
+        self._waiting_count += 1
+        self._burst_peak = max(self._burst_peak, self._waiting_count)
 
-    def discard(self, cls: str, session: S) -> None:
+    def discard(self, request_class: str, session: SessionT) -> None:
+        """Remove a session if it still waits."""
         try:
-            self._queues[cls].remove(session)
-        except ValueError:  # it went already
+            self._queues[request_class].remove(session)
+        except ValueError:  # it was released already
             return
-        self._count -= 1
+        self._waiting_count -= 1
 
-    def release(self, now: float, admits: Callable[[str], bool]) -> S | None:
-        """The next one whose time has come, of a class that may go; None where there is none now."""
+    def release(self, now: float, admits: Callable[[str], bool]) -> SessionT | None:
+        """Return the next session that is due, of a class that `admits` lets through; None if none is."""
         for name, queue in self._queues.items():
-            if queue and now >= self._at(name) and admits(name):
-                self._count -= 1
-                # from now, not from when it was due: a loop that is late does not make up for it by a burst
-                self._last_at, self._share = now, 0.5 + self._rng.random()
+            if queue and now >= self._due_at(name) and admits(name):
+                self._waiting_count -= 1
+                # from now, not from when it was due: a late loop does not make up for it by a burst
+                self._last_release_at = now
+                self._gap_factor = 0.5 + self._random.random()
                 return queue.popleft()
         return None
 
-    def next_at(self, holds: Callable[[str], float]) -> float:
-        """When to ask again. holds: until when a class may not go."""
+    def next_release_at(self, admitted_at: Callable[[str], float]) -> float:
+        """When to call `release` again; infinite if nothing waits.
+
+        admitted_at: the earliest time at which a class may go.
+        """
         return min(
-            (max(self._at(name), holds(name)) for name, queue in self._queues.items() if queue),
+            (max(self._due_at(name), admitted_at(name)) for name, queue in self._queues.items() if queue),
             default=math.inf,
         )
 
-    def _at(self, cls: str) -> float:
-        """When the next one may go, if it is of that class; sooner if more are sent away meanwhile."""
-        window = max(min(self._each * self._most, self._window), self._first)
-        gap = window / max(self._most, 1)
-        return max(self._began + gap * self._draw * self._scale[cls], self._last_at + gap * self._share)
+    def _due_at(self, request_class: str) -> float:
+        """When the next session of that class is due; earlier if more join the burst meanwhile."""
+        window_ms = max(
+            min(self._interval_ms * self._burst_peak, self._max_window_ms), self._initial_spread_ms
+        )
+        gap_ms = window_ms / max(self._burst_peak, 1)
+        first_delay_ms = gap_ms * self._first_delay_draw * self._delay_factor[request_class]
+        return max(self._burst_started_at + first_delay_ms, self._last_release_at + gap_ms * self._gap_factor)
--- a/walkloom/client/session.py
+++ b/walkloom/client/session.py
@@ -1,17 +1,18 @@
-"""One session, from its first request to its end: the state machine, and the lines of a connection that
-stands.
-
-    WAITING  a request wants a try: its turn, its back-off or its class's hold is not over
-    TRYING   one try is out, until `try_until`
-    UP       the connection stands
-    AWAY     it was moved or broke, and waits for its place among those that come back
-    OVER     nothing more happens
-
-WAITING -> TRYING -> UP | WAITING | AWAY | OVER;  UP -> AWAY | OVER;  AWAY -> WAITING | OVER. A request is
-what
-leads from WAITING to one result: UP, or an error. The client's core (core.py) decides when a session moves
-on;
-this file owns what a session holds, and does no I/O.
+"""One session, from its first request to its end: its state, and the lines of its connection. No I/O.
+
+    QUEUED       a request waits for an attempt: for its turn, its backoff or its class's admission gate
+    CONNECTING   one attempt is in flight, until `attempt_deadline`
+    ESTABLISHED  the connection stands
+    BACKING_OFF  the connection was migrated or broke, and the session waits to reconnect
+    CLOSED       nothing more happens
+
+    QUEUED      -> CONNECTING | BACKING_OFF | CLOSED
+    CONNECTING  -> ESTABLISHED | QUEUED | BACKING_OFF | CLOSED
+    ESTABLISHED -> BACKING_OFF | CLOSED
+    BACKING_OFF -> QUEUED | CLOSED
+
+A request is what leads from QUEUED to one result: ESTABLISHED, or an error. The parts of the core decide when
+a session changes its state; this module owns what a session holds. Times are ms of the client's clock.
 """
 
 from __future__ import annotations
@@ -19,142 +20,185 @@
 import math
 from collections import deque
 from enum import Enum
+from typing import NamedTuple
 
-from walkloom.client.balancer_pool import Target
+from walkloom.client.balancer_pool import Balancer
 from walkloom.client.errors import ClientError, Interrupted
 from walkloom.client.settings import ClassPolicy
-from walkloom.client.wire import About, Bad, Busy, LineBuffer, Up, answer
+from walkloom.client.wire import (
+    MIGRATE_LINE,
+    Answer,
+    EstablishedAnswer,
+    LineBuffer,
+    SessionAttributes,
+    is_goodbye,
+    load_report,
+    parse_answer,
+)
+
+MIGRATED = "moved"  # `Interrupted.why` of a migration
+
+
+class SessionState(Enum):
+    """Where a session is between its first request and its end; see the module's page."""
+
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    ESTABLISHED = "established"
+    BACKING_OFF = "backing off"
+    CLOSED = "closed"
 
-MOVED = "moved"
 
+class UnansweredLine(NamedTuple):
+    """A line of the caller that the server has not answered yet."""
 
-class State(Enum):
-    WAITING = "waiting"
-    TRYING = "trying"
-    UP = "up"
-    AWAY = "away"
-    OVER = "over"
+    sent_at: float
+    line: str
 
 
 class Session:
-    """What the core knows of one session. Drivers read `state`, `may_send`, `wants_data`, `receipt`,
-    `load`."""
+    """What the core knows of one session.
+
+    Drivers read `state`, `receipt` and `load`, and set `write_blocked`.
+    """
 
     __slots__ = (
-        "about",
-        "alarm",
-        "alarm_at",
-        "asked",
-        "away_since",
-        "began",
-        "buffer",
-        "clogged",
-        "conn",
+        "attempt_deadline",
+        "attempt_started_at",
+        "attempted_balancers",
+        "attempts",
+        "attributes",
+        "balancer",
+        "connection_id",
         "error",
+        "failed_reconnects",
+        "goodbye_received",
+        "has_reserved_retry",
         "inbox",
+        "is_queued",
+        "line_buffer",
         "load",
         "not_before",
-        "number",
-        "opened",
-        "paid",
         "policy",
-        "queued",
         "receipt",
-        "returns",
-        "rounds",
-        "said_bye",
+        "reconnecting_since",
+        "reconnects",
+        "request_deadline",
+        "request_started_at",
+        "session_id",
         "state",
-        "target",
-        "tries",
-        "try_began",
-        "try_until",
+        "timer_due_at",
+        "timer_id",
         "unanswered",
-        "until",
+        "was_established",
+        "write_blocked",
     )
 
-    def __init__(self, number: int, policy: ClassPolicy, about: About, returns: bool) -> None:
-        self.number, self.policy, self.about, self.returns = number, policy, about, returns
-        self.state = State.WAITING
+    def __init__(
+        self, session_id: int, policy: ClassPolicy, attributes: SessionAttributes, reconnects: bool
+    ) -> None:
+        self.session_id = session_id
+        self.policy = policy
+        self.attributes = attributes
+        self.reconnects = reconnects
+        self.state = SessionState.QUEUED
+        self.error: ClientError | None = None  # why it is CLOSED; None if the server ended it regularly
         # the request
-        self.began = self.until = 0.0  # ms; its give-up time
-        self.tries = 0
-        self.asked: tuple[Target, ...] = ()
-        self.not_before = 0.0  # its back-off
-        self.queued = False  # stands in its class's queue
-        self.paid = False  # a retry was taken from the budget and has not begun
-        self.opened = False  # the session has been up before: this request is a return
-        # the try
-        self.conn = 0  # number of the newest connection: what an older one brings is passed over
-        self.target: Target | None = None
-        self.try_began = self.try_until = 0.0
-        # the return
-        self.away_since = -math.inf  # never away
-        self.rounds = 0  # requests of this return that failed
+        self.request_started_at = 0.0
+        self.request_deadline = 0.0
+        self.attempts = 0
+        self.attempted_balancers: tuple[Balancer, ...] = ()
+        self.not_before = 0.0  # end of its backoff
+        self.is_queued = False  # whether its entry in the class's queue counts
+        self.has_reserved_retry = False  # a retry of the budget that has not started
+        # the attempt
+        self.connection_id = 0  # of the newest connection: events of an older one are ignored
+        self.balancer: Balancer | None = None
+        self.attempt_started_at = 0.0
+        self.attempt_deadline = 0.0
+        # the reconnect
+        self.was_established = False  # a request of such a session is a reconnect
+        self.reconnecting_since = -math.inf  # infinite: it never lost a connection
+        self.failed_reconnects = 0  # requests of this reconnect that failed
         # the connection
-        self.buffer = LineBuffer()
+        self.line_buffer = LineBuffer()
         self.receipt = ""
-        self.load: float | None = None  # as the server told it last
-        self.said_bye = False
-        self.clogged = False  # the driver has more unwritten than it may
+        self.load: float | None = None  # newest report of the server
+        self.goodbye_received = False
+        self.write_blocked = False  # the driver holds as many unwritten bytes as it may
         self.inbox: deque[str | Interrupted] = deque()
-        self.unanswered: deque[tuple[float, str]] = deque()  # when sent, and the line; the oldest first
-        self.error: ClientError | None = None  # why it is OVER
-        # its one alarm
-        self.alarm, self.alarm_at = 0, math.inf
+        self.unanswered: deque[UnansweredLine] = deque()  # the oldest first
+        # its one timer
+        self.timer_id = 0
+        self.timer_due_at = math.inf
 
     @property
     def name(self) -> str:
-        return f"{self.about.cls}/{self.number}"
-
-    def request(self, now: float, until: float) -> None:
-        """A request begins: the first one, or that of a return."""
-        self.state = State.WAITING
-        self.began, self.until, self.not_before = now, until, now
-        self.tries, self.asked = 0, ()
-
-    def trying(self, target: Target, now: float, until: float) -> None:
-        self.state, self.target = State.TRYING, target
-        self.conn += 1
-        self.tries += 1
-        self.try_began, self.try_until = now, until
-        self.paid = False
-        self.buffer, self.said_bye, self.clogged = LineBuffer(), False, False
-
-    def answered(self, data: bytes, now: float) -> Up | Busy | Bad | None:
-        """What the bytes say while a try is out; None while the line is not whole. ProtocolError as
-        `feed`."""
-        lines = self.buffer.feed(data)
+        """The session in log events."""
+        return f"{self.attributes.request_class}/{self.session_id}"
+
+    def begin_request(self, now: float, deadline: float) -> None:
+        """Begin the first request, or that of a reconnect."""
+        self.state = SessionState.QUEUED
+        self.request_started_at = now
+        self.request_deadline = deadline
+        self.not_before = now
+        self.attempts = 0
+        self.attempted_balancers = ()
+
+    def begin_attempt(self, balancer: Balancer, now: float, deadline: float) -> None:
+        """Begin an attempt on a new connection."""
+        self.state = SessionState.CONNECTING
+        self.balancer = balancer
+        self.connection_id += 1
+        self.attempts += 1
+        self.attempt_started_at = now
+        self.attempt_deadline = deadline
+        self.has_reserved_retry = False
+        self.line_buffer = LineBuffer()
+        self.goodbye_received = False
+        self.write_blocked = False
+
+    def receive_answer(self, data: bytes, now: float) -> Answer | None:
+        """Take bytes while an attempt is in flight; return None while the answer is incomplete.
+
+        Raises ProtocolError as `LineBuffer.feed`.
+        """
+        lines = self.line_buffer.feed(data)
         if not lines:
             return None
-        result = answer(lines[0])
-        if isinstance(result, Up):
-            self.state, self.receipt, self.opened = State.UP, result.receipt, True
-            self.rounds = 0
-            self.lines(lines[1:], now)
-        return result
-
-    def lines(self, lines: list[str], now: float) -> list[float]:
-        """Lines of a connection that stands; the delays of those that were answers, in ms.
-
-        The connection is over at MOVE, whatever comes after it: then the state is AWAY.
+        answer = parse_answer(lines[0])
+        if isinstance(answer, EstablishedAnswer):
+            self.state = SessionState.ESTABLISHED
+            self.receipt = answer.receipt
+            self.was_established = True
+            self.failed_reconnects = 0
+            self.receive_lines(lines[1:], now)
+        return answer
+
+    def receive_lines(self, lines: list[str], now: float) -> list[float]:
+        """Take lines of an established connection; return the delays of those that were answers, in ms.
+
+        A migration ends the connection whatever comes after it: then the state is BACKING_OFF.
         """
-        delays = []
+        delays_ms = []
         for line in lines:
-            if line == "MOVE":
-                self.state = State.AWAY
+            if line == MIGRATE_LINE:
+                self.state = SessionState.BACKING_OFF
                 break
-            self.said_bye = line == "BYE" or line.startswith("BYE ")
-            if self.said_bye:
+            self.goodbye_received = is_goodbye(line)
+            if self.goodbye_received:
                 continue
-            if line.startswith("LOAD "):
-                self._load(line[5:])
+            report = load_report(line)
+            if report is not None:
+                self._record_load(report)
                 continue
             if self.unanswered:
-                delays.append(now - self.unanswered.popleft()[0])
+                delays_ms.append(now - self.unanswered.popleft().sent_at)
             self.inbox.append(line)
-        return delays
+        return delays_ms
 
-    def _load(self, text: str) -> None:
+    def _record_load(self, text: str) -> None:
         try:
             load = float(text)
         except ValueError:
@@ -162,13 +206,16 @@
         if math.isfinite(load):
             self.load = load
 
-    def interrupted(self, why: str, over: bool) -> None:
-        """Tells the caller what has no answer; a connection that owed none and comes back is not worth a
-        word."""
-        if self.unanswered or over:
-            self.inbox.append(Interrupted(tuple(line for _, line in self.unanswered), why, over))
+    def interrupt(self, reason: str, *, is_final: bool) -> None:
+        """Hand the unanswered lines back to the caller.
+
+        A connection that owed no answer and reconnects is not worth an exception.
+        """
+        if self.unanswered or is_final:
+            lines = tuple(unanswered.line for unanswered in self.unanswered)
+            self.inbox.append(Interrupted(lines, reason, is_final))
             self.unanswered.clear()
 
-    def oldest(self) -> float:
-        """When the oldest line without an answer was sent; infinite where there is none."""
-        return self.unanswered[0][0] if self.unanswered else math.inf
+    def oldest_unanswered_at(self) -> float:
+        """When the oldest unanswered line was sent; infinite if there is none."""
+        return self.unanswered[0].sent_at if self.unanswered else math.inf
--- a/walkloom/client/wire.py
+++ b/walkloom/client/wire.py
@@ -1,5 +1,7 @@
-"""The platform's lines as a client speaks them: its opening line, the answer to it, and lines cut from
-bytes."""
+"""The line protocol as a client speaks it: the opening line, its answer, and lines cut from bytes.
+
+Only this module knows the keys of the opening line; the field beside each key is what the library calls it.
+"""
 
 from __future__ import annotations
 
@@ -8,95 +10,129 @@
 
 from walkloom.client.errors import ProtocolError
 
-LONGEST = 4096  # bytes of a line, its CRLF included
-CHUNK = 16_384  # most bytes that a driver hands over at once
+MAX_LINE_BYTES = 4096  # of one line, its CRLF included
+READ_CHUNK_BYTES = 16_384  # most bytes that a driver hands over at once
+MAX_QUOTED_CHARACTERS = 80  # of a malformed answer, in an error message
+MIGRATE_LINE = "MOVE"  # the server asks the session to reconnect elsewhere
 _BUSY = re.compile(r"BUSY(?: ([0-9]{1,9}))?")
+_GOODBYE = "BYE"
+_LOAD_PREFIX = "LOAD "
 
 
 @dataclass(frozen=True, slots=True)
-class About:
-    """What every opening line of one session tells, whatever the try.
+class SessionAttributes:
+    """What every opening line of one session says, whatever the attempt."""
+
+    request_class: str  # c=
+    tenant: str  # t=, left out if empty
+    client_key: int  # the line's second id: 64 bits, 0 for none
+    affinity_group: int  # g=: 64 bits, 0 for none
+    expected_load: float | None  # h=: a guess at the connection's load, in ms of work a second
 
-    key, group: 64 bits, 0 for none. load: a guess at the connection's load, in ms of work a second.
-    """
 
-    cls: str
-    tenant: str
-    key: int
-    group: int
-    load: float | None
-
-
-def opening(about: About, rid: int, patience_ms: int, repeat: bool, returned: bool) -> bytes:
-    """The first line of a connection. rid: 64 bits, new for every connection."""
-    values = [f"c={about.cls}"]
-    if about.tenant:
-        values.append(f"t={about.tenant}")
-    values.append(f"d={patience_ms}")
-    if about.group:
-        values.append(f"g={about.group:016x}")
-    if repeat:
-        values.append("r=1")
-    if returned:
-        values.append("again=1")
-    if about.load is not None:
-        values.append(f"h={about.load:.3f}")
-    return f"OPEN {rid:016x} {about.key:016x} {','.join(values)}\r\n".encode("ascii")
+def encode_opening_line(
+    attributes: SessionAttributes, request_id: int, timeout_ms: int, *, is_retry: bool, is_reconnect: bool
+) -> bytes:
+    """Encode the first line of a connection.
+
+    request_id: 64 bits, new for every connection. timeout_ms: how long the client waits for the answer.
+    """
+    fields = [f"c={attributes.request_class}"]
+    if attributes.tenant:
+        fields.append(f"t={attributes.tenant}")
+    fields.append(f"d={timeout_ms}")
+    if attributes.affinity_group:
+        fields.append(f"g={attributes.affinity_group:016x}")
+    if is_retry:
+        fields.append("r=1")
+    if is_reconnect:
+        fields.append("again=1")
+    if attributes.expected_load is not None:
+        fields.append(f"h={attributes.expected_load:.3f}")
+    return f"OPEN {request_id:016x} {attributes.client_key:016x} {','.join(fields)}\r\n".encode("ascii")
 
 
 @dataclass(frozen=True, slots=True)
-class Up:
+class EstablishedAnswer:
+    """`UP`: the session is established."""
+
     receipt: str
 
 
 @dataclass(frozen=True, slots=True)
-class Busy:
-    retry_after: float | None  # ms; None where the balancer told none
+class BusyAnswer:
+    """`BUSY`: the request is rejected."""
+
+    retry_after_ms: float | None  # None if the balancer named no time
 
 
 @dataclass(frozen=True, slots=True)
-class Bad:
+class MalformedAnswer:
+    """Any other line: an error of the balancer, or a peer that is none."""
+
     line: str
 
 
-def answer(line: str) -> Up | Busy | Bad:
-    """A balancer's answer to an opening line; any line but UP and BUSY is a failure."""
+Answer = EstablishedAnswer | BusyAnswer | MalformedAnswer
+
+
+def parse_answer(line: str) -> Answer:
+    """Parse a balancer's answer to an opening line."""
     if line == "UP" or line.startswith("UP "):
-        return Up(line[3:])
+        return EstablishedAnswer(line[3:])
     if match := _BUSY.fullmatch(line):
-        return Busy(float(match[1]) if match[1] else None)
-    return Bad(line[:80])
+        return BusyAnswer(float(match[1]) if match[1] else None)
+    return MalformedAnswer(line[:MAX_QUOTED_CHARACTERS])
+
+
+def is_goodbye(line: str) -> bool:
+    """Whether the server announces the regular end of the session."""
+    return line == _GOODBYE or line.startswith(_GOODBYE + " ")
+
+
+def load_report(line: str) -> str | None:
+    """The text of a load report; None if the line is something else."""
+    return line.removeprefix(_LOAD_PREFIX) if line.startswith(_LOAD_PREFIX) else None
 
 
 class LineBuffer:
-    """Cuts lines from bytes. Keeps at most one line that is not whole: LONGEST bytes."""
+    """Cuts lines from bytes.
 
-    __slots__ = ("_rest",)
+    Keeps at most one incomplete line of MAX_LINE_BYTES.
+    """
+
+    __slots__ = ("_incomplete",)
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._incomplete = b""
 
     def feed(self, data: bytes) -> list[str]:
-        """The lines that became whole, without their ends; ProtocolError for what is no line of text."""
-        *lines, rest = (self._rest + data).split(b"\n")
-        if len(rest) > LONGEST or any(len(line) >= LONGEST for line in lines):
-            self._rest = b""
-            raise ProtocolError(f"the balancer sent a line of over {LONGEST} bytes")
-        self._rest = rest
+        """Return the lines that are complete now, without their line ends.
+
+        Raises ProtocolError for a line that is too long or not text.
+        """
+        *lines, incomplete = (self._incomplete + data).split(b"\n")
+        if len(incomplete) > MAX_LINE_BYTES or any(len(line) >= MAX_LINE_BYTES for line in lines):
+            self._incomplete = b""
+            raise ProtocolError(f"the balancer sent a line of over {MAX_LINE_BYTES} bytes")
+        self._incomplete = incomplete
         try:
-            out = [line.removesuffix(b"\r").decode() for line in lines]
-        except UnicodeDecodeError:
-            raise ProtocolError("the balancer sent a line that is not text") from None
-        if any("\0" in line for line in out):  # guards callers against binary data that happens to decode
+            decoded = [line.removesuffix(b"\r").decode() for line in lines]
+        except UnicodeDecodeError as error:
+            raise ProtocolError("the balancer sent a line that is not text") from error
+        if any("\0" in line for line in decoded):  # guards callers against binary data that decodes by chance
             raise ProtocolError("the balancer sent a line that is not text")
-        return out
+        return decoded
 
 
-def encoded(line: str) -> bytes:
-    """A caller's line as it goes out; ValueError where it is none."""
+def encode_line(line: str) -> bytes:
+    """Encode a caller's line.
+
+    Raises ValueError if it holds a line end or NUL, or is too long.
+    """
     if "\n" in line or "\r" in line or "\0" in line:
         raise ValueError("a line holds no line end and no NUL")
     data = line.encode() + b"\r\n"
-    if len(data) > LONGEST:
-        raise ValueError(f"a line of {len(data)} bytes; {LONGEST} are allowed with its end")
+    if len(data) > MAX_LINE_BYTES:
+        raise ValueError(f"a line of {len(data)} bytes; {MAX_LINE_BYTES} are allowed with its end")
     return data
