--- a/tests/client/test_drivers.py
+++ b/tests/client/test_drivers.py
@@ -56,7 +56,7 @@
         (["> UP 1\nwait 50\nflood"], None, 0, ""),
     ],
 )
-def test_what_a_bad_answer_gives_and_when(
+def test_a_malformed_or_late_answer_raises_its_error_in_time(
     run: Run, scripts: list[str], error: type[ClientError] | None, within: float, text: str
 ) -> None:
     if error is not None:
@@ -74,7 +74,7 @@
 
 
 @both
-def test_lines_pass_both_ways_and_the_server_ends_it(run: Run) -> None:
+def test_lines_pass_both_ways_until_the_server_ends_the_session(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         async with (
             kit.client(balancers) as client,
@@ -92,7 +92,7 @@
 
 
 @both
-def test_a_moved_session_comes_back_by_itself_with_its_key_and_group(run: Run) -> None:
+def test_a_migrated_session_reconnects_with_its_key_and_group(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         async with kit.client(balancers) as client:
             session = await client.open("tile-view", tenant="t", key=5, group=6)
@@ -110,7 +110,7 @@
 
 
 @both
-def test_one_balancer_is_dead_one_silent_and_one_serves(run: Run) -> None:
+def test_a_healthy_balancer_serves_beside_a_dead_and_a_silent_one(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         dead, silent, good = balancers
         dead.port = good.port + 1 if good.port < 65_000 else 1  # may be anybody's: it is refused or odd
@@ -129,7 +129,7 @@
 
 
 @both
-def test_all_refuse_for_five_seconds_and_then_recover(run: Run) -> None:
+def test_a_session_is_established_after_five_seconds_of_rejections(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         async with kit.client(balancers) as client:
             start, refusals, session = kit.now(), 0, None
@@ -147,7 +147,7 @@
 
 
 @both
-def test_a_caller_that_does_not_receive_stops_the_server_not_the_memory(run: Run) -> None:
+def test_a_caller_that_does_not_receive_stops_the_server_and_bounds_the_memory(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         async with kit.client(balancers, lines_in=8) as client:
             session = await client.open("tile-view")
@@ -162,7 +162,7 @@
 
 
 @both
-def test_a_server_that_does_not_read_stops_the_sender_and_no_line_is_lost(run: Run) -> None:
+def test_a_server_that_does_not_read_blocks_the_sender_and_no_line_is_lost(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         async with kit.client(balancers, lines_out=100_000, silence_ms=60_000) as client:
             session = await client.open("tile-view")
@@ -205,7 +205,7 @@
 
 
 @both
-def test_an_exception_of_the_caller_passes_as_it_is_and_closes_all(run: Run) -> None:
+def test_an_exception_of_the_caller_propagates_unchanged_and_closes_all(run: Run) -> None:
     async def body(kit: Kit, balancers: Sequence[Balancer]) -> None:
         with pytest.raises(KeyError):
             async with kit.client(balancers) as client:
@@ -217,7 +217,7 @@
     run(body, Balancer([UP]))
 
 
-def test_the_blocking_form_in_a_script() -> None:
+def test_the_blocking_client_works_in_a_script() -> None:
     balancer = Balancer([UP])
     with served(balancer), blocking.Client([balancer.address], [VIEW], Limits(lines_out=4)) as client:
         with client.open("tile-view", tenant="t") as session:
@@ -232,7 +232,7 @@
         assert client.figures().counters.established == 1
 
 
-def test_it_installs_without_the_balancer(tmp_path: Path) -> None:
+def test_the_package_imports_without_the_balancer(tmp_path: Path) -> None:
     """The package alone, in a folder of its own: neither the balancer nor trio is needed for asyncio."""
     source = Path(__file__).parents[2] / "walkloom" / "client"
     shutil.copytree(source, tmp_path / "walkloom" / "client", ignore=shutil.ignore_patterns("__pycache__"))
@@ -254,7 +254,7 @@
     assert got.returncode == 0 and str(tmp_path) in got.stdout, got.stderr
 
 
-def test_nothing_of_the_client_loads_in_a_balancer() -> None:
+def test_a_balancer_imports_nothing_of_the_client() -> None:
     code = "import sys, walkloom.__main__; print([m for m in sys.modules if 'client' in m or 'hdrh' in m])"
     got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     assert got.stdout.strip() == "[]", got.stdout + got.stderr
--- a/tests/client/test_properties.py
+++ b/tests/client/test_properties.py
@@ -46,7 +46,7 @@
             harness.step()
         return
     if op == "wait":
-        return harness.at(float(what))  # type: ignore[arg-type]
+        return harness.advance(float(what))  # type: ignore[arg-type]
     number, text = what if isinstance(what, tuple) else (what, "")
     if not sessions:
         return
@@ -56,7 +56,7 @@
     elif op == "dead":
         harness.connect_failed(session)
     elif op in ("end", "break"):
-        harness.end(session, "broke" if op == "break" else "")
+        harness.end_connection(session, "broke" if op == "break" else "")
     elif op == "close":
         harness.core.close(session, harness.now)
         harness.step()
@@ -71,7 +71,7 @@
 
 @settings(max_examples=WIDE, deadline=None, derandomize=True)
 @given(st.lists(OPS, max_size=120), st.integers(0, 5))
-def test_any_order_of_events_keeps_the_rules(ops: list[tuple[str, object]], seed: int) -> None:
+def test_any_order_of_events_keeps_the_invariants(ops: list[tuple[str, object]], seed: int) -> None:
     harness = CoreHarness(
         ONE, TWO, seed=seed, setups=3, retry_reserve=4, return_first_ms=50, return_for_ms=5000
     )
@@ -79,7 +79,7 @@
     for op, what in ops:
         act(harness, sessions, op, what)
         _check(harness, sessions)
-    harness.at(120_000)  # whatever is under way has ended
+    harness.advance(120_000)  # whatever is under way has ended
     _check(harness, sessions)
     assert not any(
         s.state in (SessionState.QUEUED, SessionState.CONNECTING, SessionState.BACKING_OFF) for s in sessions
@@ -109,7 +109,7 @@
 
 @settings(max_examples=WIDE, deadline=None, derandomize=True)
 @given(st.lists(st.tuples(st.sampled_from(["take", "good", "back"]), st.floats(0, 4000)), max_size=200))
-def test_the_retry_budget_is_what_a_plain_list_says(steps: list[tuple[str, float]]) -> None:
+def test_the_retry_budget_matches_a_plain_list(steps: list[tuple[str, float]]) -> None:
     budget, now = RetryBudget(0.25, 2), 0.0
     took: list[int] = []
     good: list[int] = []
@@ -133,7 +133,7 @@
 
 @settings(max_examples=WIDE, deadline=None, derandomize=True)
 @given(st.lists(st.text("ab é", max_size=20), max_size=20), st.randoms(use_true_random=False), st.booleans())
-def test_lines_are_the_same_however_they_are_cut(lines: list[str], rng: object, crlf: bool) -> None:
+def test_lines_do_not_depend_on_how_their_bytes_are_split(lines: list[str], rng: object, crlf: bool) -> None:
     data = "".join(line + ("\r\n" if crlf else "\n") for line in lines).encode()
     buffer, got = LineBuffer(), []
     while data:
--- a/tests/client/test_readme.py
+++ b/tests/client/test_readme.py
@@ -10,7 +10,7 @@
 from tests.client.scripted_balancer import Balancer, served
 
 
-def test_the_readme_s_use_of_the_client_runs(capsys: pytest.CaptureFixture[str]) -> None:
+def test_the_client_example_of_the_readme_runs(capsys: pytest.CaptureFixture[str]) -> None:
     readme = (Path(__file__).parents[2] / "README.md").read_text()
     blocks = re.findall(r"```python\n(.*?)```", readme, re.S)
     (code,) = (block for block in blocks if "walkloom.client" in block)
--- a/tests/client/test_real_balancers.py
+++ b/tests/client/test_real_balancers.py
@@ -49,7 +49,7 @@
 HUNDREDS = 200
 
 
-def test_a_drain_of_a_full_server_with_hundreds_of_sessions() -> None:
+def test_hundreds_of_sessions_reconnect_after_a_drain_with_few_extra_attempts() -> None:
     async def body(fleet: Fleet, client: Client) -> None:
         sessions = []
         for number in range(HUNDREDS):
@@ -71,7 +71,7 @@
     play(body, tile={"slots": 200})
 
 
-def test_a_balancer_that_restarts_with_sessions_standing() -> None:
+def test_established_sessions_survive_a_balancer_restart() -> None:
     async def body(fleet: Fleet, client: Client) -> None:
         for number in range(40):
             await client.open("tile-view", group=number)
@@ -89,7 +89,7 @@
     play(body)
 
 
-def test_a_balancer_that_dies_with_sessions_standing() -> None:
+def test_established_sessions_survive_a_balancer_crash() -> None:
     async def body(fleet: Fleet, client: Client) -> None:
         sessions = [await client.open("tile-view", group=n) for n in range(40)]
         for session in sessions:
@@ -111,7 +111,7 @@
 
 
 @pytest.mark.parametrize("trouble", [Trouble.FAILING, Trouble.RESETTING, Trouble.FULL])
-def test_a_fleet_in_trouble_for_five_seconds_is_not_hammered_and_recovers(trouble: Trouble) -> None:
+def test_a_faulty_fleet_is_not_overloaded_by_retries_and_recovers(trouble: Trouble) -> None:
     async def body(fleet: Fleet, client: Client) -> None:
         async def viewer(number: int) -> None:
             await trio.sleep(number * 0.05)
@@ -137,7 +137,7 @@
     play(body)
 
 
-def test_no_try_outlives_its_time_whatever_the_servers_do() -> None:
+def test_no_attempt_outlives_its_deadline_whatever_the_servers_do() -> None:
     async def body(fleet: Fleet, client: Client) -> None:
         for tile, trouble in zip(
             fleet.tiles.values(), (Trouble.SILENT, Trouble.TRICKLING, Trouble.NONE), strict=True
