--- /dev/null
+++ b/benchmarks/client/viewers.py
@@ -0,0 +1,156 @@
+"""The viewers of the fleet scenarios: one session each, with the library or without."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from random import Random
+
+import trio
+
+from walkloom.client import ClassPolicy, ClientError, Interrupted, Rejected
+from walkloom.client.driver import Session
+from walkloom.client.on_trio import Client, _Connection
+from walkloom.client.session import Session as CoreSession
+from walkloom.lab.settings import CLASSES, LabClass
+from walkloom.net.lines import Lines
+
+POLICIES = tuple(ClassPolicy(c.name, c.aim_ms, c.give_up_ms, worth=c.worth) for c in CLASSES)
+CLASS_PATTERN = (0, 0, 0, 0, 0, 1, 1, 1, 2, 3)  # of each ten viewers: half of the first class, and so on
+START_INTERVAL_S = 0.01  # between one viewer's first request and the next one's
+INITIAL_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 5.0
+MIN_PAUSE_S = 0.002  # no pause at all would only measure this process's speed
+REOPEN_PAUSE_S = 0.2  # of a viewer with the library whose session ended
+AFFINITY_GROUPS = 60
+
+
+def class_of(number: int) -> LabClass:
+    """The class of a viewer's requests."""
+    return CLASSES[CLASS_PATTERN[number % len(CLASS_PATTERN)]]
+
+
+class Viewer:
+    """One viewer.
+
+    on_attempt: called at each of its attempts.
+    """
+
+    def __init__(self, number: int, on_attempt: Callable[[], None]) -> None:
+        self.number = number
+        self.request_class = class_of(number)
+        self._on_attempt = on_attempt
+
+    @property
+    def established(self) -> bool:
+        """Whether its session is established now."""
+        raise NotImplementedError
+
+
+class PlainViewer(Viewer):
+    """Without the library: one attempt after another, each with the class's whole timeout."""
+
+    def __init__(self, number: int, on_attempt: Callable[[], None]) -> None:
+        super().__init__(number, on_attempt)
+        self._random = Random(number)
+        self._established = False
+
+    @property
+    def established(self) -> bool:
+        return self._established
+
+    async def run(self, addresses: Sequence[str], backs_off: bool) -> None:
+        """Keep one session established, for ever."""
+        failures = 0
+        is_reconnect = False
+        await trio.sleep(self.number * START_INTERVAL_S)
+        while True:
+            address = self._random.choice(addresses)
+            if await self._attempt(address, is_reconnect, is_retry=failures > 0):
+                failures = 0
+                is_reconnect = True
+            else:
+                failures += 1
+            pause_s = self._backoff_s(failures) if backs_off else 0.0
+            await trio.sleep(max(pause_s, MIN_PAUSE_S))
+
+    def _backoff_s(self, failures: int) -> float:
+        ceiling_s = min(INITIAL_BACKOFF_S * 2.0**failures, MAX_BACKOFF_S)
+        return ceiling_s * (0.5 + self._random.random() / 2.0)
+
+    def _opening_line(self, is_reconnect: bool, is_retry: bool) -> bytes:
+        marks = (",again=1" if is_reconnect else "") + (",r=1" if is_retry else "")
+        timeout_ms = self.request_class.give_up_ms
+        group = self.number % AFFINITY_GROUPS + 1
+        fields = f"c={self.request_class.name},t=herb-serra,d={timeout_ms:.0f},g={group:x}{marks}"
+        request_id = self._random.getrandbits(64)
+        return f"OPEN {request_id:x} {self.number + 1:x} {fields}\r\n".encode()
+
+    async def _attempt(self, address: str, is_reconnect: bool, is_retry: bool) -> bool:
+        """Hold one session to its end; return whether it was established."""
+        host, _, port = address.rpartition(":")
+        opening_line = self._opening_line(is_reconnect, is_retry)
+        lines = None
+        self._on_attempt()
+        try:
+            with trio.move_on_after(self.request_class.give_up_ms / 1000.0):
+                lines = Lines(await trio.open_tcp_stream(host, int(port)))
+                await lines.send(opening_line)
+                self._established = (await lines.line()).startswith(b"UP")
+            if lines and self._established:
+                while b"MOVE" not in await lines.whole() and not lines.ended:
+                    pass
+                return True
+        except (OSError, trio.BrokenResourceError):
+            return self._established
+        finally:
+            self._established = False
+            if lines:
+                with trio.CancelScope(shield=True):
+                    await lines.close()
+        return False
+
+
+class LibraryViewer(Viewer):
+    """With the library."""
+
+    def __init__(self, number: int, on_attempt: Callable[[], None]) -> None:
+        super().__init__(number, on_attempt)
+        self._session: Session | None = None
+
+    @property
+    def established(self) -> bool:
+        return self._session is not None and self._session.standing
+
+    async def run(self, client: Client) -> None:
+        """Keep one session established, for ever."""
+        await trio.sleep(self.number * START_INTERVAL_S)
+        while True:
+            pause_s = REOPEN_PAUSE_S
+            try:
+                await self._hold_session(client)
+            except Rejected as error:
+                pause_s = max(error.retry_after / 1000.0, pause_s)
+            except ClientError:
+                pass
+            self._session = None
+            await trio.sleep(pause_s)
+
+    async def _hold_session(self, client: Client) -> None:
+        group = self.number % AFFINITY_GROUPS + 1
+        self._session = await client.open(
+            self.request_class.name, tenant="herb-serra", group=group, key=self.number + 1
+        )
+        while True:
+            with suppress(Interrupted):
+                await self._session.receive()
+
+
+class CountingClient(Client):
+    """The library's client; `on_attempt` is called at each of its attempts."""
+
+    on_attempt: Callable[[], None]
+
+    def _connect(self, session: CoreSession, connection_id: int, address: tuple[str, int]) -> _Connection:
+        self.on_attempt()
+        return super()._connect(session, connection_id, address)
