--- a/benchmarks/client/viewers.py
+++ b/benchmarks/client/viewers.py
@@ -120,7 +120,7 @@
 
     @property
     def established(self) -> bool:
-        return self._session is not None and self._session.standing
+        return self._session is not None and self._session.established
 
     async def run(self, client: Client) -> None:
         """Keep one session established, for ever."""
--- a/tests/client/test_core.py
+++ b/tests/client/test_core.py
@@ -6,6 +6,7 @@
 
 from tests.client.core_harness import EDIT, ONE, TWO, VIEW, CoreHarness
 from walkloom.client.core import ClientCore
+from walkloom.client.errors import InvalidArgumentError
 from walkloom.client.settings import ClassPolicy, Limits, parse_address
 from walkloom.client.wire import encode_line
 
@@ -67,8 +68,9 @@
     ],
 )
 def test_invalid_arguments_are_reported_by_name(make: object, text: str) -> None:
-    with pytest.raises(ValueError, match=text):
+    with pytest.raises(ValueError, match=text) as error:
         make()  # type: ignore[operator]
+    assert isinstance(error.value, InvalidArgumentError) and error.value.name
 
 
 def test_addresses_accept_names_and_ipv6() -> None:
--- a/tests/client/test_drivers.py
+++ b/tests/client/test_drivers.py
@@ -80,11 +80,11 @@
             kit.client(balancers) as client,
             await client.open("tile-view", tenant="t", key=5) as session,
         ):
-            assert session.receipt == "7" and session.standing
+            assert session.receipt == "7" and session.established
             await session.send("a é")
             await session.send("b")
             assert [line async for line in session] == ["A", "B"]
-            assert not session.standing and await session.receive() is None
+            assert not session.established and await session.receive() is None
             with pytest.raises(ClientError):
                 await session.send("c")
 
--- a/walkloom/client/attempt_scheduler.py
+++ b/walkloom/client/attempt_scheduler.py
@@ -126,7 +126,7 @@
         context.timers.schedule(session, min(now + context.limits.connect_ms, session.attempt_deadline))
 
     def _attempt_timeout_ms(self, session: Session, balancer: Balancer, now: float) -> float:
-        """All the time that is left, or less if another balancer could be tried afterwards."""
+        """All the time that is left, or less if a retry elsewhere could follow."""
         time_left_ms = session.request_deadline - now
         first_attempt_ms = _first_attempt_ms(session)
         time_for_another = time_left_ms - first_attempt_ms > self.class_of(session).min_attempt_ms
--- a/walkloom/client/balancer_pool.py
+++ b/walkloom/client/balancer_pool.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from walkloom.client.errors import InvalidArgumentError
+
 EJECTION_THRESHOLD = 2  # failures in a row; a single one may be chance
 INITIAL_EJECTION_MS = 250.0
 MAX_EJECTION_MS = 10_000.0  # a balancer that recovers is found again within this
@@ -45,12 +47,12 @@
 class BalancerPool:
     """Chooses balancers and learns from the outcome of attempts.
 
-    Raises ValueError if there are no addresses.
+    Raises InvalidArgumentError if there are no addresses.
     """
 
     def __init__(self, addresses: Sequence[tuple[str, int]], random: Random) -> None:
         if not addresses:
-            raise ValueError("a client needs at least one balancer")
+            raise InvalidArgumentError("balancers", addresses, "a client needs at least one balancer")
         self.balancers = tuple(Balancer(address) for address in dict.fromkeys(addresses))
         self._random = random
 
@@ -60,7 +62,7 @@
         """Choose the balancer for one more attempt, in flight there until `release`; None if all must wait.
 
         owner: whose attempt it is, handed back with its outcome.
-        attempted: those that the request tried already; chosen again only if no other is left.
+        attempted: those that the request was sent to already; chosen again only if no other is left.
         may_probe: the request has the time and attempts to go elsewhere if the probe fails.
         """
         healthy = [balancer for balancer in self.balancers if not balancer.is_ejected]
--- a/walkloom/client/blocking.py
+++ b/walkloom/client/blocking.py
@@ -85,9 +85,14 @@
         return self._session.receipt
 
     @property
-    def standing(self) -> bool:
+    def established(self) -> bool:
         """Whether it is established now; False while it reconnects and when it is closed."""
-        return self._session.standing
+        return self._session.established
+
+    @property
+    def standing(self) -> bool:
+        """Former name of `established`, for one release."""
+        return self.established
 
     def send(self, line: str, timeout: float | None = None) -> None:
         """Send one line.
--- a/walkloom/client/core.py
+++ b/walkloom/client/core.py
@@ -27,7 +27,7 @@
 from walkloom.client.balancer_pool import BalancerPool
 from walkloom.client.commands import Command, Connect, Disconnect, Notify, Write
 from walkloom.client.context import ClientContext
-from walkloom.client.errors import Failed, TooMany
+from walkloom.client.errors import Failed, InvalidArgumentError, TooMany
 from walkloom.client.established import EstablishedSessions
 from walkloom.client.metrics import Figures
 from walkloom.client.reconnects import ReconnectScheduler
@@ -47,7 +47,7 @@
     """All sessions of one client.
 
     balancers: host and port of each. seed: of everything drawn by chance; None: the system's.
-    Raises ValueError for settings that make no sense.
+    Raises InvalidArgumentError for settings that make no sense.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         self._context = ClientContext(limits, random, budget)
         self._pool = BalancerPool(balancers, random)
         if not classes or len({policy.name for policy in classes}) < len(classes):
-            raise ValueError("a client needs at least one class, each once")
+            raise InvalidArgumentError("classes", classes, "a client needs at least one class, each once")
         policies = sorted(classes, key=lambda policy: -policy.priority_weight)
         self._reconnects = ReconnectScheduler(self._context, policies)
         self._results = RequestResults(self._context, self._reconnects)
@@ -90,13 +90,14 @@
     ) -> Session:
         """Open a session, whose first request begins now.
 
-        Raises ValueError for arguments out of range, Rejected, TimedOut or TooMany if it cannot begin.
+        Raises InvalidArgumentError for arguments out of range; Rejected, TimedOut or TooMany if the request
+        cannot begin.
         """
         now = self._advance_clock(now)
         request_class = self._scheduler.classes.get(cls)
         if request_class is None:
             known = ", ".join(self._scheduler.classes)
-            raise ValueError(f"no class {cls!r}; this client has {known}")
+            raise InvalidArgumentError("cls", cls, f"no class {cls!r}; this client has {known}")
         attributes = _checked_attributes(SessionAttributes(cls, tenant, key, group, load))
         if len(self._context.sessions) >= self.limits.sessions:
             raise TooMany(f"{self.limits.sessions} sessions are open")
@@ -112,7 +113,7 @@
     def send(self, session: Session, line: str, now: float) -> None:
         """Send a line; only while `may_send`.
 
-        Raises ValueError if it is no line.
+        Raises InvalidArgumentError if it is no line.
         """
         self._established.send(session, line, self._advance_clock(now))
 
@@ -244,10 +245,11 @@
 def _checked_attributes(attributes: SessionAttributes) -> SessionAttributes:
     tenant = attributes.tenant
     if not all("!" <= character <= "~" and character not in ",=" for character in tenant):
-        raise ValueError(f"tenant {tenant!r}: no spaces, commas or equals signs")
-    if not 0 <= attributes.client_key <= MAX_ID or not 0 <= attributes.affinity_group <= MAX_ID:
-        raise ValueError("key and group are 64 bits")
+        raise InvalidArgumentError("tenant", tenant, f"tenant {tenant!r}: no spaces, commas or equals signs")
+    for name, value in (("key", attributes.client_key), ("group", attributes.affinity_group)):
+        if not 0 <= value <= MAX_ID:
+            raise InvalidArgumentError(name, value, "key and group are 64 bits")
     load = attributes.expected_load
     if load is not None and not (math.isfinite(load) and 0 <= load <= MAX_EXPECTED_LOAD):
-        raise ValueError("load is 0 to 1e9 ms of work a second")
+        raise InvalidArgumentError("load", load, "load is 0 to 1e9 ms of work a second")
     return attributes
--- a/walkloom/client/driver.py
+++ b/walkloom/client/driver.py
@@ -54,7 +54,7 @@
     """A client of walkloom's balancers, as an async context manager; its end closes all its sessions.
 
     balancers: `host:port` each. classes: at least one. seed: of everything drawn by chance.
-    Raises ValueError for settings that make no sense; see `walkloom.client.errors` for the rest.
+    Raises InvalidArgumentError for settings that make no sense; see `walkloom.client.errors` for the rest.
     """
 
     def __init__(
@@ -111,7 +111,7 @@
         key, group: 64 bits; they go with every attempt and every reconnect.
         load: a guess at its load, in ms of work a second.
         returns: whether the session reconnects by itself after a migration or a break.
-        Raises Rejected, TimedOut, Failed or TooMany; ValueError for an unknown class.
+        Raises Rejected, TimedOut, Failed or TooMany; InvalidArgumentError for an unknown class.
         """
         session = self.core.open(
             self.now(), cls, tenant=tenant, group=group, key=key, load=load, returns=returns
@@ -220,15 +220,20 @@
         return self._core_session.load
 
     @property
-    def standing(self) -> bool:
+    def established(self) -> bool:
         """Whether it is established now; False while it reconnects and when it is closed."""
         return self._core_session.state is SessionState.ESTABLISHED
 
+    @property
+    def standing(self) -> bool:
+        """Former name of `established`, for one release."""
+        return self.established
+
     async def send(self, line: str) -> None:
         """Send one line, whole or (when cancelled) not at all.
 
         Waits while the session reconnects, or while `Limits.lines_out` lines are unanswered.
-        Raises ValueError if it is no line, and what ended the session if it is closed.
+        Raises InvalidArgumentError if it is no line, and what ended the session if it is closed.
         """
         await self._client.send(self._core_session, line)
 
--- a/walkloom/client/errors.py
+++ b/walkloom/client/errors.py
@@ -8,6 +8,9 @@
     +-- Interrupted     an established session lost its connection with lines unanswered
     +-- ProtocolError   the peer does not speak the line protocol
 
+    ValueError
+    +-- InvalidArgumentError   a setting or an argument is out of range
+
 Every message is one sentence for a person. `Refused` is the former name of `Rejected` and stays for one
 release.
 """
@@ -65,5 +68,19 @@
         self.over = over
 
 
+class InvalidArgumentError(ValueError):
+    """A setting or an argument is out of range; raised before anything happens.
+
+    Attributes:
+        name: of the setting or the argument.
+        value: what was given.
+    """
+
+    def __init__(self, name: str, value: object, message: str) -> None:
+        super().__init__(message)
+        self.name = name
+        self.value = value
+
+
 class ProtocolError(ClientError):
     """The peer sent bytes that no balancer sends: a line that is too long, or not text."""
--- a/walkloom/client/established.py
+++ b/walkloom/client/established.py
@@ -20,7 +20,7 @@
     def send(self, session: Session, line: str, now: float) -> None:
         """Write a line of the caller.
 
-        Raises ValueError as `encode_line`.
+        Raises InvalidArgumentError as `encode_line`.
         """
         context = self._context
         data = encode_line(line)
--- a/walkloom/client/settings.py
+++ b/walkloom/client/settings.py
@@ -9,6 +9,8 @@
 import re
 from dataclasses import dataclass
 
+from walkloom.client.errors import InvalidArgumentError
+
 MAX_ATTEMPTS = 3  # more would multiply the load of a fleet that fails; the retry budget bounds the rest
 MAX_REQUEST_TIMEOUT_MS = 600_000.0  # ten minutes: nobody waits longer for a set-up
 MAX_PORT = 65_535
@@ -19,7 +21,7 @@
 class ClassPolicy:
     """One class of requests, named as the balancers' settings name it.
 
-    Raises ValueError for values out of range.
+    Raises InvalidArgumentError for values out of range.
     """
 
     name: str
@@ -30,12 +32,13 @@
 
     def __post_init__(self) -> None:
         if not _CLASS_NAME.fullmatch(self.name):
-            raise ValueError(f"class name {self.name!r}: letters, digits, _ . and - only")
+            message = f"class name {self.name!r}: letters, digits, _ . and - only"
+            raise InvalidArgumentError("name", self.name, message)
         owner = f"class {self.name}"
-        _require(owner, "aim_ms", 0 < self.aim_ms <= self.give_up_ms, "over 0, up to give_up_ms")
-        _require(owner, "give_up_ms", self.give_up_ms <= MAX_REQUEST_TIMEOUT_MS, "at most 600,000")
-        _require(owner, "tries", 1 <= self.tries <= MAX_ATTEMPTS, "1 to 3")
-        _require(owner, "worth", self.worth > 0, "over 0")
+        _require(self, owner, "aim_ms", 0 < self.aim_ms <= self.give_up_ms, "over 0, up to give_up_ms")
+        _require(self, owner, "give_up_ms", self.give_up_ms <= MAX_REQUEST_TIMEOUT_MS, "at most 600,000")
+        _require(self, owner, "tries", 1 <= self.tries <= MAX_ATTEMPTS, "1 to 3")
+        _require(self, owner, "worth", self.worth > 0, "over 0")
 
     @property
     def latency_objective_ms(self) -> float:
@@ -62,7 +65,7 @@
 class Limits:
     """The limits of one client; durations in milliseconds.
 
-    Raises ValueError for values out of range.
+    Raises InvalidArgumentError for values out of range.
     """
 
     sessions: int = 10_000  # most sessions, established or not
@@ -84,27 +87,29 @@
 
     def __post_init__(self) -> None:
         for name in ("sessions", "setups", "lines_out", "bytes_out", "lines_in"):
-            _require("limits", name, getattr(self, name) >= 1, "at least 1")
+            _require(self, "limits", name, getattr(self, name) >= 1, "at least 1")
         for name in ("connect_ms", "least_ms", "backoff_ms", "silence_ms", "returns_per_s"):
-            _require("limits", name, getattr(self, name) > 0, "over 0")
+            _require(self, "limits", name, getattr(self, name) > 0, "over 0")
         for name in ("return_first_ms", "return_window_ms", "return_for_ms", "retry_reserve"):
-            _require("limits", name, getattr(self, name) >= 0, "0 or more")
-        _require("limits", "retry_share", 0 <= self.retry_share <= 1, "0 to 1")
-        _require("limits", "backoff_most_ms", self.backoff_most_ms >= self.backoff_ms, "at least backoff_ms")
+            _require(self, "limits", name, getattr(self, name) >= 0, "0 or more")
+        _require(self, "limits", "retry_share", 0 <= self.retry_share <= 1, "0 to 1")
+        _require(
+            self, "limits", "backoff_most_ms", self.backoff_most_ms >= self.backoff_ms, "at least backoff_ms"
+        )
 
 
-def _require(owner: str, name: str, valid: bool, rule: str) -> None:
+def _require(settings: ClassPolicy | Limits, owner: str, name: str, valid: bool, rule: str) -> None:
     if not valid:
-        raise ValueError(f"{owner}: {name} must be {rule}")
+        raise InvalidArgumentError(name, getattr(settings, name), f"{owner}: {name} must be {rule}")
 
 
 def parse_address(text: str) -> tuple[str, int]:
     """Parse `host:port` or `[v6]:port` into host and port.
 
-    Raises ValueError for any other text.
+    Raises InvalidArgumentError for any other text.
     """
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"not host:port: {text!r}")
+        raise InvalidArgumentError("address", text, f"not host:port: {text!r}")
     return host, int(port)
--- a/walkloom/client/wire.py
+++ b/walkloom/client/wire.py
@@ -8,7 +8,7 @@
 import re
 from dataclasses import dataclass
 
-from walkloom.client.errors import ProtocolError
+from walkloom.client.errors import InvalidArgumentError, ProtocolError
 
 MAX_LINE_BYTES = 4096  # of one line, its CRLF included
 READ_CHUNK_BYTES = 16_384  # most bytes that a driver hands over at once
@@ -128,11 +128,12 @@
 def encode_line(line: str) -> bytes:
     """Encode a caller's line.
 
-    Raises ValueError if it holds a line end or NUL, or is too long.
+    Raises InvalidArgumentError if it holds a line end or NUL, or is too long.
     """
     if "\n" in line or "\r" in line or "\0" in line:
-        raise ValueError("a line holds no line end and no NUL")
+        raise InvalidArgumentError("line", line, "a line holds no line end and no NUL")
     data = line.encode() + b"\r\n"
     if len(data) > MAX_LINE_BYTES:
-        raise ValueError(f"a line of {len(data)} bytes; {MAX_LINE_BYTES} are allowed with its end")
+        message = f"a line of {len(data)} bytes; {MAX_LINE_BYTES} are allowed with its end"
+        raise InvalidArgumentError("line", line, message)
     return data
