--- a/walkloom/client/attempt_scheduler.py
+++ b/walkloom/client/attempt_scheduler.py
@@ -18,9 +18,8 @@
 from walkloom.client.session import Session, SessionState
 from walkloom.client.settings import ClassPolicy
 
-FIRST_ATTEMPT_OBJECTIVES = (
-    2.0  # latency objectives that a first balancer is given if another one could follow
-)
+# latency objectives that an attempt is given if another balancer could be asked after it
+FIRST_ATTEMPT_OBJECTIVES = 2.0
 
 
 class AttemptScheduler:
--- a/walkloom/client/on_trio.py
+++ b/walkloom/client/on_trio.py
@@ -73,7 +73,7 @@
 
 
 class _Connection:
-    """One connection, as `driver.Connection`."""
+    """One connection; its public methods are those of `driver.Connection`."""
 
     def __init__(self, client: Client, session: CoreSession, connection_id: int) -> None:
         self.client = client
--- a/walkloom/client/session.py
+++ b/walkloom/client/session.py
@@ -19,6 +19,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -56,81 +57,52 @@
     line: str
 
 
+@dataclass(slots=True, eq=False, repr=False)
 class Session:
     """What the core knows of one session.
 
     Drivers read `state`, `receipt` and `load`, and set `write_blocked`.
     """
 
-    __slots__ = (
-        "attempt_deadline",
-        "attempt_started_at",
-        "attempted_balancers",
-        "attempts",
-        "attributes",
-        "balancer",
-        "connection_id",
-        "error",
-        "failed_reconnects",
-        "goodbye_received",
-        "has_reserved_retry",
-        "inbox",
-        "is_queued",
-        "line_buffer",
-        "load",
-        "not_before",
-        "policy",
-        "receipt",
-        "reconnecting_since",
-        "reconnects",
-        "request_deadline",
-        "request_started_at",
-        "session_id",
-        "state",
-        "timer_due_at",
-        "timer_id",
-        "unanswered",
-        "was_established",
-        "write_blocked",
-    )
-
-    def __init__(
-        self, session_id: int, policy: ClassPolicy, attributes: SessionAttributes, reconnects: bool
-    ) -> None:
-        self.session_id = session_id
-        self.policy = policy
-        self.attributes = attributes
-        self.reconnects = reconnects
-        self.state = SessionState.QUEUED
-        self.error: ClientError | None = None  # why it is CLOSED; None if the server ended it regularly
-        # the request
-        self.request_started_at = 0.0
-        self.request_deadline = 0.0
-        self.attempts = 0
-        self.attempted_balancers: tuple[Balancer, ...] = ()
-        self.not_before = 0.0  # end of its backoff
-        self.is_queued = False  # whether its entry in the class's queue counts
-        self.has_reserved_retry = False  # a retry of the budget that has not started
-        # the attempt
-        self.connection_id = 0  # of the newest connection: events of an older one are ignored
-        self.balancer: Balancer | None = None
-        self.attempt_started_at = 0.0
-        self.attempt_deadline = 0.0
-        # the reconnect
-        self.was_established = False  # a request of such a session is a reconnect
-        self.reconnecting_since = -math.inf  # infinite: it never lost a connection
-        self.failed_reconnects = 0  # requests of this reconnect that failed
-        # the connection
-        self.line_buffer = LineBuffer()
-        self.receipt = ""
-        self.load: float | None = None  # newest report of the server
-        self.goodbye_received = False
-        self.write_blocked = False  # the driver holds as many unwritten bytes as it may
-        self.inbox: deque[str | Interrupted] = deque()
-        self.unanswered: deque[UnansweredLine] = deque()  # the oldest first
-        # its one timer
-        self.timer_id = 0
-        self.timer_due_at = math.inf
+    session_id: int
+    policy: ClassPolicy
+    attributes: SessionAttributes
+    reconnects: bool  # whether it reconnects by itself
+    state: SessionState = SessionState.QUEUED
+    error: ClientError | None = None  # why it is CLOSED; None if the server ended it regularly
+
+    # the request
+    request_started_at: float = 0.0
+    request_deadline: float = 0.0
+    attempts: int = 0
+    attempted_balancers: tuple[Balancer, ...] = ()
+    not_before: float = 0.0  # end of its backoff
+    is_queued: bool = False  # whether its entry in the class's queue counts
+    has_reserved_retry: bool = False  # a retry of the budget that has not started
+
+    # the attempt
+    connection_id: int = 0  # of the newest connection: events of an older one are ignored
+    balancer: Balancer | None = None
+    attempt_started_at: float = 0.0
+    attempt_deadline: float = 0.0
+
+    # the reconnect
+    was_established: bool = False  # a request of such a session is a reconnect
+    reconnecting_since: float = -math.inf  # infinite: it never lost a connection
+    failed_reconnects: int = 0  # requests of this reconnect that failed
+
+    # the connection
+    line_buffer: LineBuffer = field(default_factory=LineBuffer)
+    receipt: str = ""
+    load: float | None = None  # newest report of the server
+    goodbye_received: bool = False
+    write_blocked: bool = False  # the driver holds as many unwritten bytes as it may
+    inbox: deque[str | Interrupted] = field(default_factory=deque)
+    unanswered: deque[UnansweredLine] = field(default_factory=deque)  # the oldest first
+
+    # its one timer
+    timer_id: int = 0
+    timer_due_at: float = math.inf
 
     @property
     def name(self) -> str:
