--- a/tests/characterisation/quic_adapter.py
+++ b/tests/characterisation/quic_adapter.py
@@ -9,22 +9,26 @@
 
 from tests.helpers import settings
 from walkloom.engine.engine import Engine
-from walkloom.frontends.quic import initial
+from walkloom.frontends.quic.connection_id import ConnectionIdFormat
+from walkloom.frontends.quic.datagram_reader import DatagramReader
+from walkloom.frontends.quic.errors import ConnectionIdError, PacketError
+from walkloom.frontends.quic.frames import find_close_error_code
 from walkloom.frontends.quic.frontend import QuicFrontend
-from walkloom.frontends.quic.ids import IdForm
-from walkloom.frontends.quic.packet import Kind, PacketError, parse, varint, version_negotiation
-from walkloom.frontends.quic.settings import QuicConfig, Target
+from walkloom.frontends.quic.initial_keys import Sender, derive_initial_keys
+from walkloom.frontends.quic.initial_packet import build_refusal, decrypt_initial, encrypt_initial
+from walkloom.frontends.quic.packet import PacketType, build_version_negotiation, parse_header
+from walkloom.frontends.quic.settings import QuicConfig, QuicEndpoint
 from walkloom.messages import Endpoint, Lifecycle, UpdateKind
 
-KINDS = {
-    Kind.INITIAL: "initial",
-    Kind.ZERO_RTT: "early",
-    Kind.HANDSHAKE: "handshake",
-    Kind.RETRY: "retry",
-    Kind.SHORT: "short",
-    Kind.OTHER: "other",
+PACKET_TYPES = {
+    PacketType.INITIAL: "initial",
+    PacketType.ZERO_RTT: "early",
+    PacketType.HANDSHAKE: "handshake",
+    PacketType.RETRY: "retry",
+    PacketType.ONE_RTT: "short",
+    PacketType.OTHER_VERSION: "other",
 }
-SIDES = {"client": initial.CLIENT, "server": initial.SERVER}
+SENDERS = {"client": Sender.CLIENT, "server": Sender.SERVER}
 DROPS = {"malformed": "broken", "unroutable": "stray", "table-full": "full", "moves-untold": "untold"}
 LISTED = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "gone": Lifecycle.REMOVED}
 Outcome = tuple[object, ...]
@@ -36,7 +40,7 @@
         return ("gave", do())
     except PacketError:
         return ("broken",)
-    except ValueError:
+    except ConnectionIdError:
         return ("invalid",)
 
 
@@ -44,56 +48,63 @@
     """The fields of a datagram's first packet."""
 
     def fields() -> Outcome:
-        packet = parse(data, id_length)
-        return (KINDS[packet.kind], packet.version, packet.dcid, packet.scid, packet.rest)
+        header = parse_header(data, id_length)
+        return (
+            PACKET_TYPES[header.packet_type],
+            header.version,
+            header.destination_connection_id,
+            header.source_connection_id,
+            header.payload_offset,
+        )
 
     return _outcome(fields)
 
 
 def number_at(data: bytes, at: int) -> Outcome:
     """The number of variable length at a place, and where it ends."""
-    return _outcome(lambda: varint(data, at))
+    reader = DatagramReader(data, at)
+    return _outcome(lambda: (reader.read_varint(), reader.position))
 
 
 def other_version(data: bytes) -> Outcome:
     """The answer to a packet of another version."""
-    return _outcome(lambda: version_negotiation(parse(data, 0)))
+    return _outcome(lambda: build_version_negotiation(parse_header(data, 0)))
 
 
 def id_made(form: tuple[int, int, int], server: bytes, nonce: bytes) -> Outcome:
     """An id of a form."""
-    return _outcome(lambda: IdForm(*form).make(server, nonce))
+    return _outcome(lambda: ConnectionIdFormat(*form).encode(server, nonce))
 
 
 def id_read(form: tuple[int, int, int], cid: bytes) -> Outcome:
     """The server within an id, and the length of ids of the form."""
-    return _outcome(lambda: (IdForm(*form).server(cid), IdForm(*form).length))
+    return _outcome(lambda: (ConnectionIdFormat(*form).server_id(cid), ConnectionIdFormat(*form).length))
 
 
 def key_fields(first: bytes, side: str) -> Outcome:
     """The keys of one side."""
-    keys = initial.keys(first, SIDES[side])
+    keys = derive_initial_keys(first, SENDERS[side])
     return (keys.key, keys.iv, keys.hp)
 
 
 def sealed(first: bytes, side: str, to: bytes, own: bytes, frames: bytes, number: int = 0) -> bytes:
     """An Initial packet."""
-    return initial.seal(initial.keys(first, SIDES[side]), to, own, frames, number)
+    return encrypt_initial(derive_initial_keys(first, SENDERS[side]), to, own, frames, number)
 
 
 def unsealed(first: bytes, side: str, data: bytes) -> Outcome:
     """The frames of an Initial packet."""
-    return _outcome(lambda: initial.opened(initial.keys(first, SIDES[side]), data))
+    return _outcome(lambda: decrypt_initial(derive_initial_keys(first, SENDERS[side]), data))
 
 
 def refused(first: bytes, client: bytes, own: bytes) -> bytes:
     """The packet that refuses a client."""
-    return initial.refusal(first, client, own)
+    return build_refusal(first, client, own)
 
 
 def closing(frames: bytes) -> Outcome:
     """The code with which frames close a connection."""
-    return _outcome(lambda: initial.close_code(frames))
+    return _outcome(lambda: find_close_error_code(frames))
 
 
 class Front:
@@ -111,9 +122,9 @@
                 settings(max_attempts=2, max_retry_after_ms=1500.0, drain_grace_ms=500.0), 1
             )
         self._servers = tuple(servers)
-        targets = tuple(Target(name, cid, address) for name, (cid, address) in servers.items())
+        endpoints = tuple(QuicEndpoint(name, cid, address) for name, (cid, address) in servers.items())
         self._frontend = QuicFrontend(
-            self._engine, QuicConfig(listen, IdForm(*form), 0, 0, 2000.0, connections, targets)
+            self._engine, QuicConfig(listen, ConnectionIdFormat(*form), 0, 0, 2000.0, connections, endpoints)
         )
 
     async def begin(self, nursery: trio.Nursery) -> None:
--- a/tests/frontends/quic/test_frontend.py
+++ b/tests/frontends/quic/test_frontend.py
@@ -15,13 +15,17 @@
 
 from tests import scenario
 from walkloom.config import ConfigError, SettingNames
-from walkloom.frontends.quic import initial
+from walkloom.frontends.quic.connection_id import ConnectionIdFormat
+from walkloom.frontends.quic.datagram_reader import DatagramReader
+from walkloom.frontends.quic.errors import ConnectionIdError, PacketError
+from walkloom.frontends.quic.frames import find_close_error_code
 from walkloom.frontends.quic.frontend import QuicFrontend
-from walkloom.frontends.quic.ids import IdForm
-from walkloom.frontends.quic.packet import Kind, PacketError, parse, varint
-from walkloom.frontends.quic.settings import QuicConfig, Target, load
+from walkloom.frontends.quic.initial_keys import Sender, derive_initial_keys
+from walkloom.frontends.quic.initial_packet import decrypt_initial, encrypt_initial
+from walkloom.frontends.quic.packet import PacketType, parse_header
+from walkloom.frontends.quic.settings import QuicConfig, QuicEndpoint, load
 
-FORM = IdForm(1, 2, 6)
+FORM = ConnectionIdFormat(1, 2, 6)
 LOCAL = ("127.0.0.1", 0)
 NAMES = SettingNames(("view",), (), ("here",), ("fast",))
 FIRST, OWN, ODD = b"first-id", b"cl", b"\xff" * FORM.length
@@ -33,12 +37,12 @@
     return bytes([0xC0 | kind << 4]) + version.to_bytes(4) + ids
 
 
-def name(data: bytes, side: bytes, first: bytes = FIRST) -> str:
+def name(data: bytes, sender: Sender, first: bytes = FIRST) -> str:
     """What a peer sees in a datagram; refused and closed are read with the Initial's keys."""
-    packet = parse(data, FORM.length)
-    if packet.kind is not Kind.INITIAL:
-        return packet.kind.name.lower()
-    code = initial.close_code(initial.opened(initial.keys(first, side), data))
+    packet = parse_header(data, FORM.length)
+    if packet.packet_type is not PacketType.INITIAL:
+        return packet.packet_type.name.lower()
+    code = find_close_error_code(decrypt_initial(derive_initial_keys(first, sender), data))
     return "initial" if code is None else f"close {code}"
 
 
@@ -48,13 +52,15 @@
         self.socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
 
     async def send(self, text: str) -> None:
-        hello = initial.seal(initial.keys(self.first, initial.CLIENT), self.first, OWN, CRYPTO + bytes(20))
+        hello = encrypt_initial(
+            derive_initial_keys(self.first, Sender.CLIENT), self.first, OWN, CRYPTO + bytes(20)
+        )
         data = {
             "initial": hello.ljust(1200, b"\0"),
             "small": hello,
             "version": long_header(0, 0x1A2A3A4A, FIRST, OWN).ljust(1200, b"\0"),
             "short": b"\x40" + self.id + b"x" * 20,
-            "unseen": b"\x40" + FORM.make(b"\0a", b"unseen") + b"x" * 20,
+            "unseen": b"\x40" + FORM.encode(b"\0a", b"unseen") + b"x" * 20,
             "stray": b"\x40" + ODD + b"x" * 20,
             "cut": hello[:9],
         }[text]
@@ -62,14 +68,14 @@
 
     async def receive(self) -> str:
         data = await self.socket.recv(2000)
-        packet = parse(data, FORM.length if data[0] & 0x80 else len(OWN))
+        packet = parse_header(data, FORM.length if data[0] & 0x80 else len(OWN))
         if not data[0] & 0x80:
             return "short"
-        if packet.kind is Kind.RETRY:
-            self.first = packet.scid
+        if packet.packet_type is PacketType.RETRY:
+            self.first = packet.source_connection_id
         else:
-            self.id = packet.scid
-        return name(data, initial.SERVER, self.first)
+            self.id = packet.source_connection_id
+        return name(data, Sender.SERVER, self.first)
 
     async def close(self) -> None:
         self.socket.close()
@@ -93,12 +99,12 @@
         self.first = FIRST
 
     async def send(self, text: str) -> None:
-        own = FORM.make(b"\0" + self.server.encode(), b"nonce!")
-        sealed = initial.keys(self.first, initial.SERVER)
+        own = FORM.encode(b"\0" + self.server.encode(), b"nonce!")
+        sealed = derive_initial_keys(self.first, Sender.SERVER)
         data = {
-            "initial": initial.seal(sealed, OWN, own, CRYPTO + bytes(20)),
-            "refuse": initial.seal(sealed, OWN, own, b"\x02\0\0\0\0\x1c\x02\0\0" + bytes(20)),
-            "close": initial.seal(sealed, OWN, own, b"\x1c\x01\0\0" + bytes(20)),
+            "initial": encrypt_initial(sealed, OWN, own, CRYPTO + bytes(20)),
+            "refuse": encrypt_initial(sealed, OWN, own, b"\x02\0\0\0\0\x1c\x02\0\0" + bytes(20)),
+            "close": encrypt_initial(sealed, OWN, own, b"\x1c\x01\0\0" + bytes(20)),
             "retry": long_header(3, 1, OWN, own) + b"token" + bytes(16),
             "short": b"\x40" + OWN + b"y" * 20,
         }[text]
@@ -107,8 +113,8 @@
     async def receive(self) -> str:
         data = await self.get.receive()
         if data[0] & 0x80:
-            self.first = parse(data, 0).dcid
-        return f"{name(data, initial.CLIENT, self.first)} at {self.server}"
+            self.first = parse_header(data, 0).destination_connection_id
+        return f"{name(data, Sender.CLIENT, self.first)} at {self.server}"
 
     async def close(self) -> None:
         self.socket.close()
@@ -120,13 +126,13 @@
 async def build(world: Any) -> None:
     """Servers a and b, and two balancers that share nothing; clients start at the first."""
     world.servers = ("a", "b")
-    targets = []
+    endpoints = []
     for server in world.servers:
         sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         await sock.bind(LOCAL)
         world.nursery.start_soon(serve, world, server, sock)
-        targets.append(Target(server, b"\0" + server.encode(), sock.getsockname()))
-    conf = QuicConfig(LOCAL, FORM, 0, 0, 2000.0, 3, tuple(targets))
+        endpoints.append(QuicEndpoint(server, b"\0" + server.encode(), sock.getsockname()))
+    conf = QuicConfig(LOCAL, FORM, 0, 0, 2000.0, 3, tuple(endpoints))
     first = world.frontend = QuicFrontend(world.engine, conf)
     address = await world.nursery.start(first.run)
 
@@ -169,7 +175,7 @@
 CASES = {
     "placed, then packets go by id, both ways": UP + """
         c send short
-        s1 expect short at ?
+        s1 expect one_rtt at ?
         s1 send short
         c expect short""",
     "an Initial sent again is the same request": """
@@ -182,28 +188,28 @@
     "a changed address stays with its server, on a path of its own": UP + """
         c reset
         c send short
-        s2 expect short at ?
+        s2 expect one_rtt at ?
         s2 send short
         c expect short""",
     "an id that was never seen reaches its server": """
         c send unseen
-        s1 expect short at a
+        s1 expect one_rtt at a
         s1 send short
         c expect short""",
     "an id that was never seen reaches its server also while that drains": """
         list draining
         wait 900
         c send unseen
-        s1 expect short at a""",
+        s1 expect one_rtt at a""",
     "a standing connection goes on while its server drains": UP + """
         list draining
         wait 900
         c send short
-        s1 expect short at ?""",
+        s1 expect one_rtt at ?""",
     "another balancer routes by the id alone": UP + """
         c other
         c send short
-        s2 expect short at ?
+        s2 expect one_rtt at ?
         s2 send short
         c expect short""",
     "a stopping balancer lets go, the other goes on": UP + """
@@ -211,7 +217,7 @@
         wait 2500
         c other
         c send short
-        s2 expect short at ?""",
+        s2 expect one_rtt at ?""",
     "no server: refused in QUIC's form, again for an Initial sent again": """
         list removed
         c send initial
@@ -257,7 +263,7 @@
         s1 expect initial at ?
         s1 send initial
         c expect initial""",
-    "another version is told ours": "c send version\nc expect other",
+    "another version is told ours": "c send version\nc expect other_version",
     "more connections than the file allows are dropped": """
         c send initial
         c2 send initial
@@ -293,7 +299,7 @@
 
 def test_initial_keys_are_those_of_rfc_9001() -> None:
     dcid = bytes.fromhex("8394c8f03e515708")
-    client, server = initial.keys(dcid, initial.CLIENT), initial.keys(dcid, initial.SERVER)
+    client, server = derive_initial_keys(dcid, Sender.CLIENT), derive_initial_keys(dcid, Sender.SERVER)
     assert client.key.hex() == "1f369613dd76d5467730efcbe3b1a22d"
     assert (
         client.iv.hex() == "fa044b2f42a3fd3b46fb255c"
@@ -303,25 +309,27 @@
 
 
 def test_ids_have_their_form_and_length() -> None:
-    cid = FORM.make(b"ab", b"nonce!")
-    assert cid[0] == 1 << 5 | 8 and FORM.server(cid) == b"ab"
-    assert FORM.server(cid[:-1]) is None and FORM.server(b"\xe0" + cid[1:]) is None
+    cid = FORM.encode(b"ab", b"nonce!")
+    assert cid[0] == 1 << 5 | 8 and FORM.server_id(cid) == b"ab"
+    assert FORM.server_id(cid[:-1]) is None and FORM.server_id(b"\xe0" + cid[1:]) is None
     for bad in ((7, 2, 6), (0, 0, 6), (0, 2, 3), (0, 8, 12)):
-        with pytest.raises(ValueError):
-            IdForm(*bad)
+        with pytest.raises(ConnectionIdError):
+            ConnectionIdFormat(*bad)
 
 
 @pytest.mark.parametrize("data", ["", "40", "c0", "c000000001146162", "c0000000010015", "80000000010000"])
 def test_malformed_packets_are_named(data: str) -> None:
     with pytest.raises(PacketError):
-        parse(bytes.fromhex(data), FORM.length)
+        parse_header(bytes.fromhex(data), FORM.length)
 
 
 def test_numbers_of_each_length() -> None:
-    assert varint(bytes.fromhex("c2197c5eff14e88c"), 0) == (151288809941952652, 8)
-    assert varint(bytes.fromhex("7bbd"), 0) == (15293, 2) and varint(b"\x25", 0) == (37, 1)
+    for encoded, value in (("c2197c5eff14e88c", 151288809941952652), ("7bbd", 15293), ("25", 37)):
+        reader = DatagramReader(bytes.fromhex(encoded))
+        assert reader.read_varint() == value
+        assert reader.position == len(encoded) // 2
     with pytest.raises(PacketError):
-        varint(b"\x80\0", 0)
+        DatagramReader(b"\x80\0").read_varint()
 
 
 FILE = (Path(__file__).parents[3] / "deploy" / "quic.toml.example").read_text()
--- a/walkloom/frontends/quic/connection.py
+++ b/walkloom/frontends/quic/connection.py
@@ -10,9 +10,13 @@
 import trio
 
 from walkloom.engine.engine import RequestHandle
-from walkloom.frontends.quic import initial
-from walkloom.frontends.quic.packet import Kind, Packet, PacketError, parse
-from walkloom.frontends.quic.settings import Target
+from walkloom.frontends.quic.connection_id import create_unroutable_connection_id
+from walkloom.frontends.quic.errors import PacketError
+from walkloom.frontends.quic.frames import CONNECTION_REFUSED, find_close_error_code
+from walkloom.frontends.quic.initial_keys import Sender, derive_initial_keys
+from walkloom.frontends.quic.initial_packet import build_refusal, decrypt_initial
+from walkloom.frontends.quic.packet import MAX_DATAGRAM_BYTES, PacketHeader, PacketType, parse_header
+from walkloom.frontends.quic.settings import QuicEndpoint
 from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
 
 if TYPE_CHECKING:
@@ -23,7 +27,6 @@
 PENDING, IDS, PATHS = 8, 8, 4  # most datagrams kept during set-up, ids and client addresses of one connection
 IDLE_S, SILENT_S, SILENT_PACKETS = 60.0, 5.0, 3  # a few may need no answer: acknowledgements alone
 LOOK_S, CLOSING_S = 0.25, 3.0
-LARGEST = 65_535
 
 
 class QuicConnection:
@@ -45,7 +48,7 @@
             self.ids.append(cid)
             self.frontend.connections[cid] = self
 
-    async def receive(self, packet: Packet, data: bytes, client: Address) -> None:
+    async def receive(self, packet: PacketHeader, data: bytes, client: Address) -> None:
         """One datagram from the client."""
         self.quiet_since = trio.current_time()
         if self.closing:
@@ -53,9 +56,14 @@
         if not self.handle.is_established:
             self.client = client
             if (
-                packet.kind is Kind.INITIAL and packet.dcid != self.first_dcid
+                packet.packet_type is PacketType.INITIAL
+                and packet.destination_connection_id != self.first_dcid
             ):  # the first, or one after a Retry
-                self.first_dcid, self.client_id, self.pending = packet.dcid, packet.scid, []
+                self.first_dcid, self.client_id, self.pending = (
+                    packet.destination_connection_id,
+                    packet.source_connection_id,
+                    [],
+                )
             if len(self.pending) < PENDING:
                 self.pending.append(data)
         if self._nursery and client not in self.paths and self.handle.is_established:
@@ -86,7 +94,7 @@
         finally:
             self._end()
 
-    async def carry_on(self, target: Target, packet: Packet, data: bytes) -> None:
+    async def carry_on(self, target: QuicEndpoint, packet: PacketHeader, data: bytes) -> None:
         """A connection that stands at a server already, though this balancer never saw it."""
         try:
             await self._open(target)
@@ -108,14 +116,14 @@
                 for data in self.pending:
                     await sock.send(data)
                 while True:
-                    answer = await sock.recv(LARGEST)
+                    answer = await sock.recv(MAX_DATAGRAM_BYTES)
                     with suppress(PacketError):
-                        packet = parse(answer, self.frontend.form.length)
+                        packet = parse_header(answer, self.frontend.form.length)
                         if (status := self._refused(packet, answer)) is not None:
                             return status
-                        self.learn(packet.scid)
+                        self.learn(packet.source_connection_id)
                         await self.frontend.send(answer, self.client)
-                        if packet.kind in (Kind.INITIAL, Kind.HANDSHAKE):
+                        if packet.packet_type in (PacketType.INITIAL, PacketType.HANDSHAKE):
                             self._answered()
                             self.handle.report_established()
                             return None
@@ -123,23 +131,25 @@
             return AttemptStatus.CONNECT_FAILED
         return AttemptStatus.TIMED_OUT
 
-    def _refused(self, packet: Packet, data: bytes) -> AttemptStatus | None:
-        if packet.kind is not Kind.INITIAL:
+    def _refused(self, packet: PacketHeader, data: bytes) -> AttemptStatus | None:
+        if packet.packet_type is not PacketType.INITIAL:
             return None
-        code = initial.close_code(initial.opened(initial.keys(self.first_dcid, initial.SERVER), data))
+        code = find_close_error_code(
+            decrypt_initial(derive_initial_keys(self.first_dcid, Sender.SERVER), data)
+        )
         if code is None:
             return None
-        return AttemptStatus.AT_CAPACITY if code == initial.CONNECTION_REFUSED else AttemptStatus.ERROR
+        return AttemptStatus.AT_CAPACITY if code == CONNECTION_REFUSED else AttemptStatus.ERROR
 
     async def _refuse(self) -> None:
         """The final answer in QUIC's own form; Initials sent again get the same for a while."""
-        self.closing = initial.refusal(self.first_dcid, self.client_id, self.frontend.unroutable_id())
+        self.closing = build_refusal(self.first_dcid, self.client_id, create_unroutable_connection_id())
         log.info("quic-unavailable request=%d", self.handle.id)
         with suppress(OSError):
             await self.frontend.send(self.closing, self.client)
         await trio.sleep(CLOSING_S)
 
-    async def _open(self, target: Target) -> trio.socket.SocketType:
+    async def _open(self, target: QuicEndpoint) -> trio.socket.SocketType:
         sock = self.paths[self.client] = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         await sock.connect(target.address)
         return sock
@@ -151,7 +161,7 @@
             self.paths.pop(next(iter(self.paths))).close()
         self.client = client
         sock = await self._open(target)
-        log.info("quic-address-changed request=%d server=%s", self.handle.id, target.server)
+        log.info("quic-address-changed request=%d server=%s", self.handle.id, target.endpoint_id)
         if self._nursery:
             self._nursery.start_soon(self._downward, sock, client)
 
@@ -170,7 +180,7 @@
     async def _downward(self, sock: trio.socket.SocketType, client: Address) -> None:
         while True:
             try:
-                data = await sock.recv(LARGEST)
+                data = await sock.recv(MAX_DATAGRAM_BYTES)
             except trio.ClosedResourceError:  # gave way to a newer address
                 return
             except OSError:
@@ -179,7 +189,7 @@
                 return
             self._answered()
             with suppress(PacketError):
-                self.learn(parse(data, self.frontend.form.length).scid)
+                self.learn(parse_header(data, self.frontend.form.length).source_connection_id)
             with suppress(OSError):
                 await self.frontend.send(data, client)
 
--- a/walkloom/frontends/quic/frontend.py
+++ b/walkloom/frontends/quic/frontend.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import logging
-import os
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from walkloom.engine.engine import Engine
-from walkloom.frontends.quic.connection import LARGEST, Address, QuicConnection
+from walkloom.frontends.quic.connection import Address, QuicConnection
+from walkloom.frontends.quic.errors import PacketError
 from walkloom.frontends.quic.packet import (
-    FIRST_ID_LEAST,
-    INITIAL_LEAST,
-    Kind,
-    Packet,
-    PacketError,
-    parse,
-    version_negotiation,
+    MAX_DATAGRAM_BYTES,
+    MIN_CLIENT_DCID_BYTES,
+    MIN_INITIAL_DATAGRAM_BYTES,
+    PacketHeader,
+    PacketType,
+    build_version_negotiation,
+    parse_header,
 )
 from walkloom.frontends.quic.settings import QuicConfig
 
@@ -28,9 +28,9 @@
 
 class QuicFrontend:
     def __init__(self, engine: Engine, conf: QuicConfig) -> None:
-        self.engine, self._conf, self.form = engine, conf, conf.form
-        self.targets = {t.server: t for t in conf.targets}
-        self._by_id = {t.id: t for t in conf.targets}
+        self.engine, self._conf, self.form = engine, conf, conf.connection_id_format
+        self.targets = {t.endpoint_id: t for t in conf.endpoints}
+        self._by_id = {t.server_id: t for t in conf.endpoints}
         self.connections: dict[bytes, QuicConnection] = {}
         self._open = 0
         self.dropped: Counter[str] = Counter()
@@ -44,7 +44,7 @@
                 task_status.started(self._socket.getsockname())
                 while True:
                     try:
-                        data, client = await self._socket.recvfrom(LARGEST)
+                        data, client = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
                         await self._route(nursery, data, client)
                     except PacketError:
                         self.count("malformed")
@@ -52,30 +52,37 @@
                         log.exception("quic-error error=%r", error)
 
     async def _route(self, nursery: trio.Nursery, data: bytes, client: Address) -> None:
-        packet = parse(data, self.form.length)
-        if connection := self.connections.get(packet.dcid):
+        packet = parse_header(data, self.form.length)
+        if connection := self.connections.get(packet.destination_connection_id):
             await connection.receive(packet, data, client)
-        elif self._open >= self._conf.connections:
+        elif self._open >= self._conf.max_connections:
             self.count("table-full")
-        elif target := self._by_id.get(self.form.server(packet.dcid) or b""):
-            handle = self.engine.adopt(target.server, self._conf.request_class, tenant=self._conf.tenant)
+        elif target := self._by_id.get(self.form.server_id(packet.destination_connection_id) or b""):
+            handle = self.engine.adopt(target.endpoint_id, self._conf.request_class, tenant=self._conf.tenant)
             connection = QuicConnection(self, handle, client)
-            connection.learn(packet.dcid)
+            connection.learn(packet.destination_connection_id)
             self._start(nursery, connection.carry_on, target, packet, data)
-        elif packet.kind is Kind.OTHER and packet.version and len(data) >= INITIAL_LEAST:
-            await self.send(version_negotiation(packet), client)
-        elif packet.kind is Kind.INITIAL:
+        elif (
+            packet.packet_type is PacketType.OTHER_VERSION
+            and packet.version
+            and len(data) >= MIN_INITIAL_DATAGRAM_BYTES
+        ):
+            await self.send(build_version_negotiation(packet), client)
+        elif packet.packet_type is PacketType.INITIAL:
             await self._new(nursery, packet, data, client)
         else:
             self.count("unroutable")
 
-    async def _new(self, nursery: trio.Nursery, packet: Packet, data: bytes, client: Address) -> None:
-        if len(data) < INITIAL_LEAST or len(packet.dcid) < FIRST_ID_LEAST:
+    async def _new(self, nursery: trio.Nursery, packet: PacketHeader, data: bytes, client: Address) -> None:
+        if (
+            len(data) < MIN_INITIAL_DATAGRAM_BYTES
+            or len(packet.destination_connection_id) < MIN_CLIENT_DCID_BYTES
+        ):
             raise PacketError("too short for a first Initial")
-        deadline = self.engine.now() + self._conf.patience_ms
+        deadline = self.engine.now() + self._conf.request_timeout_ms
         handle = self.engine.submit(self._conf.request_class, deadline, tenant=self._conf.tenant)
         connection = QuicConnection(self, handle, client)
-        connection.learn(packet.dcid)
+        connection.learn(packet.destination_connection_id)
         await connection.receive(packet, data, client)
         self._start(nursery, connection.live)
 
@@ -94,9 +101,6 @@
     async def send(self, data: bytes, client: Address) -> None:
         await self._socket.sendto(data, client)
 
-    def unroutable_id(self) -> bytes:
-        return b"\xe0" + os.urandom(7)
-
     def count(self, why: str) -> None:
         self.dropped[why] += 1
 
--- a/walkloom/frontends/quic/packet.py
+++ b/walkloom/frontends/quic/packet.py
@@ -1,71 +1,149 @@
-"""What a balancer reads of a QUIC datagram: the invariants of RFC 8999 and the long types of RFC 9000."""
+"""Packet headers, as far as a balancer reads them.
+
+The invariants of all versions are in RFC 8999; the packet types of version 1 in RFC 9000, section 17.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import IntEnum
 
+from walkloom.frontends.quic.datagram_reader import DatagramReader
+from walkloom.frontends.quic.errors import PacketError
+
+# The version number of RFC 9000.
 VERSION_1 = 1
-INITIAL_LEAST = 1200  # a datagram with a client's Initial is at least so long
-FIRST_ID_LEAST = 8
 
+# The version number that marks a Version Negotiation packet (RFC 8999, section 6).
+VERSION_NEGOTIATION = 0
+
+# A datagram that carries a client's Initial packet is at least so long (RFC 9000, section 14.1).
+MIN_INITIAL_DATAGRAM_BYTES = 1200
+
+# The destination connection id that a client invents is at least so long (RFC 9000, section 7.2).
+MIN_CLIENT_DCID_BYTES = 8
+
+# Version 1 allows no longer connection id (RFC 9000, section 17.2).
+MAX_CONNECTION_ID_BYTES = 20
+
+# The largest payload that a UDP datagram can have, rounded up; nothing is cut off on receipt.
+MAX_DATAGRAM_BYTES = 65_535
+
+# Bits of the first octet (RFC 9000, sections 17.2 and 17.3.1).
+HEADER_FORM_BIT = 0x80
+FIXED_BIT = 0x40
+LONG_PACKET_TYPE_SHIFT = 4
+LONG_PACKET_TYPE_MASK = 0x03
+
+# Where the fields of a long header stand (RFC 8999, section 5.1).
+_VERSION_OFFSET = 1
+_DCID_LENGTH_OFFSET = 5
+
+# The destination connection id of a short header follows the first octet (RFC 8999, section 5.2).
+_SHORT_DCID_OFFSET = 1
 
-class PacketError(ValueError):
-    """A datagram that is no QUIC packet; the text says why."""
 
+class PacketType(IntEnum):
+    """The type of a packet; the first four are the codes of a long header (RFC 9000, section 17.2)."""
 
-class Kind(IntEnum):
     INITIAL = 0
     ZERO_RTT = 1
     HANDSHAKE = 2
     RETRY = 3
-    SHORT = 4
-    OTHER = 5  # a long header of another version, or a version negotiation
+
+    # Any short header.
+    ONE_RTT = 4
+
+    # A long header of another version, or a Version Negotiation packet.
+    OTHER_VERSION = 5
 
 
 @dataclass(frozen=True, slots=True)
-class Packet:
-    kind: Kind
+class PacketHeader:
+    """The header of the first packet of a datagram."""
+
+    packet_type: PacketType
+
+    # Of a short header, which has no version field: version 1.
     version: int
-    dcid: bytes
-    scid: bytes
-    rest: int  # where what follows the ids begins
 
+    destination_connection_id: bytes
+
+    # Empty in a short header, which has none.
+    source_connection_id: bytes
+
+    # Offset of what follows the connection ids.
+    payload_offset: int
+
+
+def parse_header(datagram: bytes, short_header_dcid_length: int) -> PacketHeader:
+    """Parse the header of the first packet of a datagram.
 
-def parse(data: bytes, id_length: int) -> Packet:
-    """The first packet of a datagram; short headers carry an id of the length that our servers give."""
-    if not data:
+    A short header does not say how long its connection id is; short_header_dcid_length is the length of the
+    ids that the receiver of the datagram has given out. Raises PacketError.
+    """
+    if not datagram:
         raise PacketError("empty")
-    if not data[0] & 0x80:
-        if len(data) <= id_length or not data[0] & 0x40:
-            raise PacketError("short header cut off or without its fixed bit")
-        return Packet(Kind.SHORT, VERSION_1, data[1 : 1 + id_length], b"", 1 + id_length)
-    version = int.from_bytes(data[1:5])
-    dcid, at = _id(data, 5)
-    scid, at = _id(data, at)
-    if version != VERSION_1:
-        return Packet(Kind.OTHER, version, dcid, scid, at)
-    if not data[0] & 0x40 or len(dcid) > 20 or len(scid) > 20:
-        raise PacketError("long header without its fixed bit or with an id over 20 bytes")
-    return Packet(Kind(data[0] >> 4 & 3), version, dcid, scid, at)
-
-
-def _id(data: bytes, at: int) -> tuple[bytes, int]:
-    if len(data) <= at or len(data) < at + 1 + data[at]:
-        raise PacketError("long header cut off")
-    end = at + 1 + data[at]
-    return data[at + 1 : end], end
-
-
-def varint(data: bytes, at: int) -> tuple[int, int]:
-    """A variable-length integer and where it ends."""
-    if at >= len(data) or len(data) < at + (1 << (data[at] >> 6)):
-        raise PacketError("number cut off")
-    end = at + (1 << (data[at] >> 6))
-    return int.from_bytes(data[at:end]) & ((1 << (8 * (end - at) - 2)) - 1), end
-
-
-def version_negotiation(packet: Packet) -> bytes:
-    """The answer to a version that we do not speak: ids swapped, version 0, then version 1."""
-    ids = bytes([len(packet.scid)]) + packet.scid + bytes([len(packet.dcid)]) + packet.dcid
-    return b"\xc0" + bytes(4) + ids + VERSION_1.to_bytes(4)
+    if datagram[0] & HEADER_FORM_BIT:
+        return _parse_long_header(datagram)
+    return _parse_short_header(datagram, short_header_dcid_length)
+
+
+def _parse_short_header(datagram: bytes, dcid_length: int) -> PacketHeader:
+    """Parse a 1-RTT packet's header (RFC 8999, section 5.2; RFC 9000, section 17.3.1)."""
+    if len(datagram) <= dcid_length or not datagram[0] & FIXED_BIT:
+        raise PacketError("short header cut off or without its fixed bit")
+    end = _SHORT_DCID_OFFSET + dcid_length
+    return PacketHeader(
+        packet_type=PacketType.ONE_RTT,
+        version=VERSION_1,
+        destination_connection_id=datagram[_SHORT_DCID_OFFSET:end],
+        source_connection_id=b"",
+        payload_offset=end,
+    )
+
+
+def _parse_long_header(datagram: bytes) -> PacketHeader:
+    """Parse a long header (RFC 8999, section 5.1; RFC 9000, section 17.2)."""
+    version = int.from_bytes(datagram[_VERSION_OFFSET:_DCID_LENGTH_OFFSET])
+    reader = DatagramReader(datagram, _DCID_LENGTH_OFFSET)
+    dcid = reader.read_connection_id()
+    scid = reader.read_connection_id()
+    if version == VERSION_1:
+        packet_type = _long_packet_type(datagram[0], dcid, scid)
+    else:
+        packet_type = PacketType.OTHER_VERSION
+    return PacketHeader(
+        packet_type=packet_type,
+        version=version,
+        destination_connection_id=dcid,
+        source_connection_id=scid,
+        payload_offset=reader.position,
+    )
+
+
+def _long_packet_type(first_octet: int, dcid: bytes, scid: bytes) -> PacketType:
+    """Return the type of a version 1 long header, and check what version 1 demands of it."""
+    if not first_octet & FIXED_BIT:
+        raise PacketError("long header without its fixed bit")
+    if max(len(dcid), len(scid)) > MAX_CONNECTION_ID_BYTES:
+        raise PacketError(f"connection id over {MAX_CONNECTION_ID_BYTES} bytes")
+    return PacketType(first_octet >> LONG_PACKET_TYPE_SHIFT & LONG_PACKET_TYPE_MASK)
+
+
+def encode_connection_ids(dcid: bytes, scid: bytes) -> bytes:
+    """Return both connection ids of a long header, each behind its length (RFC 8999, section 5.1)."""
+    return bytes([len(dcid)]) + dcid + bytes([len(scid)]) + scid
+
+
+def build_version_negotiation(received: PacketHeader) -> bytes:
+    """Return the Version Negotiation packet that answers a packet of another version.
+
+    It has the received connection ids swapped, and offers version 1 (RFC 8999, section 6; RFC 9000, section
+    17.2.1).
+    """
+    first_octet = bytes([HEADER_FORM_BIT | FIXED_BIT])
+    connection_ids = encode_connection_ids(
+        dcid=received.source_connection_id, scid=received.destination_connection_id
+    )
+    return first_octet + VERSION_NEGOTIATION.to_bytes(4) + connection_ids + VERSION_1.to_bytes(4)
