--- a/tests/characterisation/quic_adapter.py
+++ b/tests/characterisation/quic_adapter.py
@@ -11,6 +11,7 @@
 from walkloom.engine.engine import Engine
 from walkloom.frontends.quic.connection_id import ConnectionIdFormat
 from walkloom.frontends.quic.datagram_reader import DatagramReader
+from walkloom.frontends.quic.drop_counters import DropReason
 from walkloom.frontends.quic.errors import ConnectionIdError, PacketError
 from walkloom.frontends.quic.frames import find_close_error_code
 from walkloom.frontends.quic.frontend import QuicFrontend
@@ -29,7 +30,12 @@
     PacketType.OTHER_VERSION: "other",
 }
 SENDERS = {"client": Sender.CLIENT, "server": Sender.SERVER}
-DROPS = {"malformed": "broken", "unroutable": "stray", "table-full": "full", "moves-untold": "untold"}
+DROPS = {
+    DropReason.MALFORMED: "broken",
+    DropReason.UNROUTABLE: "stray",
+    DropReason.TABLE_FULL: "full",
+    DropReason.MIGRATIONS_NOT_SENT: "untold",
+}
 LISTED = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "gone": Lifecycle.REMOVED}
 Outcome = tuple[object, ...]
 
@@ -144,5 +150,7 @@
 
     def left_behind(self) -> Outcome:
         """What was dropped, the ids that are known, and how many requests are open."""
-        dropped = sorted((DROPS[word], count) for word, count in self._frontend.dropped.items())
+        dropped = sorted(
+            (DROPS[reason], count) for reason, count in self._frontend.drop_counters.counts.items()
+        )
         return (*dropped, *sorted(self._frontend.connections), self._engine.open_requests)
--- a/tests/frontends/quic/test_frontend.py
+++ b/tests/frontends/quic/test_frontend.py
@@ -137,7 +137,7 @@
     address = await world.nursery.start(first.run)
 
     async def dropped(counts: str) -> None:
-        assert " ".join(f"{k}={v}" for k, v in sorted(first.dropped.items())) == counts
+        assert first.drop_counters.summary() == counts
 
     world.verbs["dropped"] = dropped
     second = scenario.World(world.nursery)
@@ -270,7 +270,7 @@
         c3 send initial
         c4 send initial
         wait 20
-        dropped table-full=1""",
+        dropped table_full=1""",
     "what cannot be routed or read is dropped and counted": """
         c send stray
         c send cut
@@ -294,7 +294,7 @@
         await build(world)
 
     scenario.run(UP + "wait 61000", keep)
-    assert worlds[0].frontend.connections == {} and worlds[0].engine.idle
+    assert len(worlds[0].frontend.connections) == 0 and worlds[0].engine.idle
 
 
 def test_initial_keys_are_those_of_rfc_9001() -> None:
--- a/walkloom/frontends/quic/connection.py
+++ b/walkloom/frontends/quic/connection.py
@@ -3,228 +3,130 @@
 from __future__ import annotations
 
 import logging
-import math
 from contextlib import suppress
-from typing import TYPE_CHECKING
 
 import trio
 
 from walkloom.engine.engine import RequestHandle
-from walkloom.frontends.quic.connection_id import create_unroutable_connection_id
-from walkloom.frontends.quic.errors import PacketError
-from walkloom.frontends.quic.frames import CONNECTION_REFUSED, find_close_error_code
-from walkloom.frontends.quic.initial_keys import Sender, derive_initial_keys
-from walkloom.frontends.quic.initial_packet import build_refusal, decrypt_initial
-from walkloom.frontends.quic.packet import MAX_DATAGRAM_BYTES, PacketHeader, PacketType, parse_header
-from walkloom.frontends.quic.settings import QuicEndpoint
-from walkloom.messages import AttemptStatus, Fail, Reject, StartAttempt
-
-if TYPE_CHECKING:
-    from walkloom.frontends.quic.frontend import QuicFrontend
+from walkloom.frontends.quic.activity import ActivityMonitor
+from walkloom.frontends.quic.connection_context import ConnectionContext
+from walkloom.frontends.quic.connection_state import ConnectionState
+from walkloom.frontends.quic.connection_table import ConnectionIds
+from walkloom.frontends.quic.handshake import Handshake
+from walkloom.frontends.quic.packet import PacketHeader
+from walkloom.frontends.quic.relay import Relay
+from walkloom.frontends.quic.server_paths import ServerPaths
+from walkloom.frontends.quic.settings import QuicEndpoint, SocketAddress
+from walkloom.messages import Fail, Reject, StartAttempt
 
 log = logging.getLogger("walkloom")
-Address = tuple[str, int]
-PENDING, IDS, PATHS = 8, 8, 4  # most datagrams kept during set-up, ids and client addresses of one connection
-IDLE_S, SILENT_S, SILENT_PACKETS = 60.0, 5.0, 3  # a few may need no answer: acknowledgements alone
-LOOK_S, CLOSING_S = 0.25, 3.0
+
+# How long a refused client gets the same answer to Initial packets that it sends again: three times the
+# probe timeout (RFC 9000, section 10.2), which begins at about a second (RFC 9002, section 6.2.2).
+CLOSING_PERIOD_S = 3.0
 
 
 class QuicConnection:
-    def __init__(self, frontend: QuicFrontend, handle: RequestHandle, client: Address) -> None:
-        self.frontend, self.handle, self.client = frontend, handle, client
-        self.ids: list[bytes] = []
-        self.first_dcid, self.client_id = b"", b""  # of the newest Initial: what its keys come from
-        self.pending: list[bytes] = []
-        self.closing = b""  # the refusal, for Initials that are sent again
-        # a socket for each client address: the server sees the change and checks the path itself
-        self.paths: dict[Address, trio.socket.SocketType] = {}
-        self._nursery: trio.Nursery | None = None
-        self.quiet_since = trio.current_time()
-        self._unanswered, self._asked_at = 0, math.inf
-        self._lost = self._leaving = False
-
-    def learn(self, cid: bytes) -> None:
-        if cid and cid not in self.ids and len(self.ids) < IDS:
-            self.ids.append(cid)
-            self.frontend.connections[cid] = self
-
-    async def receive(self, packet: PacketHeader, data: bytes, client: Address) -> None:
-        """One datagram from the client."""
-        self.quiet_since = trio.current_time()
-        if self.closing:
-            return await self.frontend.send(self.closing, client)
-        if not self.handle.is_established:
-            self.client = client
-            if (
-                packet.packet_type is PacketType.INITIAL
-                and packet.destination_connection_id != self.first_dcid
-            ):  # the first, or one after a Retry
-                self.first_dcid, self.client_id, self.pending = (
-                    packet.destination_connection_id,
-                    packet.source_connection_id,
-                    [],
-                )
-            if len(self.pending) < PENDING:
-                self.pending.append(data)
-        if self._nursery and client not in self.paths and self.handle.is_established:
-            await self._new_path(client)
-        sock = self.paths.get(client) or (
-            None if self.handle.is_established else next(iter(self.paths.values()), None)
+    """One connection of a client.
+
+    The frontend's task hands in the client's datagrams by `receive`; the connection's own task runs `serve`
+    or `serve_adopted`.
+    """
+
+    def __init__(
+        self, context: ConnectionContext, handle: RequestHandle, client_address: SocketAddress
+    ) -> None:
+        """Create the connection.
+
+        handle: the connection at the engine. client_address: where its first datagram comes from.
+        """
+        self._client_address = client_address
+        self._state = ConnectionState(
+            context=context,
+            handle=handle,
+            connection_ids=ConnectionIds(context.table, self),
+            paths=ServerPaths(),
+            activity=ActivityMonitor(),
         )
+        self._handshake = Handshake(self._state, client_address)
+        self._relay = Relay(self._state)
+        # The final answer of a connection that got no server; empty before.
+        self._refusal = b""
+
+    def learn_connection_id(self, connection_id: bytes) -> None:
+        """Have packets to this id come to this connection."""
+        self._state.connection_ids.learn(connection_id)
+
+    async def receive(self, header: PacketHeader, datagram: bytes, client_address: SocketAddress) -> None:
+        """Take one datagram from the client; header: of its first packet. Raises OSError."""
+        self._state.activity.record_client_datagram()
+        if self._refusal:
+            await self._state.context.send_to_client(self._refusal, client_address)
+            return
+        if not self._state.handle.is_established:
+            self._handshake.add_client_datagram(header, datagram, client_address)
+        elif self._relay.has_started and client_address not in self._state.paths:
+            await self._relay.add_path(client_address)
+        sock = self._find_path(client_address)
         if sock:
-            self._unanswered += 1
-            self._asked_at = min(self._asked_at, self.quiet_since)
-            with suppress(OSError):  # a refusal is read where the answers are
-                await sock.send(data)
+            self._state.activity.record_forwarded()
+            # A refusal by ICMP is handled where the server's packets are read.
+            with suppress(OSError):
+                await sock.send(datagram)
 
-    async def live(self) -> None:
-        """Orders come from the engine, attempts go out one by one; then packets pass until it is quiet."""
-        try:
-            while True:
-                command = await self.handle.next_command()
-                if isinstance(command, Reject | Fail):
-                    return await self._refuse()
-                if isinstance(command, StartAttempt):
-                    status = await self._attempt(command)
-                    if status is None:
-                        break
-                    self._close_paths()
-                    self.handle.report_ended(status)
-            await self._carry()
-        finally:
-            self._end()
+    def _find_path(self, client_address: SocketAddress) -> trio.socket.SocketType | None:
+        """Return the socket for an address of the client.
 
-    async def carry_on(self, target: QuicEndpoint, packet: PacketHeader, data: bytes) -> None:
-        """A connection that stands at a server already, though this balancer never saw it."""
+        During the handshake any path will do: a client may not migrate yet (RFC 9000, section 9).
+        """
+        sock = self._state.paths.find(client_address)
+        if sock is None and not self._state.handle.is_established:
+            sock = self._state.paths.oldest()
+        return sock
+
+    async def serve(self) -> None:
+        """Serve a new connection, from its first packet to its end."""
         try:
-            await self._open(target)
-            await self.receive(packet, data, self.client)
-            await self._carry()
+            if await self._establish():
+                await self._relay.run()
         finally:
-            self._end()
-
-    async def _attempt(self, command: StartAttempt) -> AttemptStatus | None:
-        """None once the server's packets show that the connection stands."""
-        engine, target = self.frontend.engine, self.frontend.targets.get(str(command.endpoint_id))
-        until = min(self.handle.attempt_started_at + (command.timeout_ms or math.inf), self.handle.deadline)
-        if target is None or not self.handle.may_start_sending():
-            log.warning("quic-unsent server=%s", command.endpoint_id)
-            return AttemptStatus.NOT_SENT
-        try:
-            with trio.move_on_after(max(until - engine.now(), 0.0) / 1000.0):
-                sock = await self._open(target)
-                for data in self.pending:
-                    await sock.send(data)
-                while True:
-                    answer = await sock.recv(MAX_DATAGRAM_BYTES)
-                    with suppress(PacketError):
-                        packet = parse_header(answer, self.frontend.form.length)
-                        if (status := self._refused(packet, answer)) is not None:
-                            return status
-                        self.learn(packet.source_connection_id)
-                        await self.frontend.send(answer, self.client)
-                        if packet.packet_type in (PacketType.INITIAL, PacketType.HANDSHAKE):
-                            self._answered()
-                            self.handle.report_established()
-                            return None
-        except OSError:  # refused by ICMP: nothing listens there
-            return AttemptStatus.CONNECT_FAILED
-        return AttemptStatus.TIMED_OUT
-
-    def _refused(self, packet: PacketHeader, data: bytes) -> AttemptStatus | None:
-        if packet.packet_type is not PacketType.INITIAL:
-            return None
-        code = find_close_error_code(
-            decrypt_initial(derive_initial_keys(self.first_dcid, Sender.SERVER), data)
-        )
-        if code is None:
-            return None
-        return AttemptStatus.AT_CAPACITY if code == CONNECTION_REFUSED else AttemptStatus.ERROR
-
-    async def _refuse(self) -> None:
-        """The final answer in QUIC's own form; Initials sent again get the same for a while."""
-        self.closing = build_refusal(self.first_dcid, self.client_id, create_unroutable_connection_id())
-        log.info("quic-unavailable request=%d", self.handle.id)
-        with suppress(OSError):
-            await self.frontend.send(self.closing, self.client)
-        await trio.sleep(CLOSING_S)
+            self._close()
 
-    async def _open(self, target: QuicEndpoint) -> trio.socket.SocketType:
-        sock = self.paths[self.client] = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
-        await sock.connect(target.address)
-        return sock
+    async def serve_adopted(self, endpoint: QuicEndpoint, header: PacketHeader, datagram: bytes) -> None:
+        """Serve a connection that is established at a server, though this balancer has never seen it.
 
-    async def _new_path(self, client: Address) -> None:
-        """The client's address changed: its packets still go to the same server."""
-        target = self.frontend.targets[str(self.handle.endpoint_id)]
-        if len(self.paths) >= PATHS:
-            self.paths.pop(next(iter(self.paths))).close()
-        self.client = client
-        sock = await self._open(target)
-        log.info("quic-address-changed request=%d server=%s", self.handle.id, target.endpoint_id)
-        if self._nursery:
-            self._nursery.start_soon(self._downward, sock, client)
-
-    async def _carry(self) -> None:
-        status = AttemptStatus.CANCELLED
+        header, datagram: with which it came.
+        """
         try:
-            async with trio.open_nursery() as self._nursery:
-                for client, sock in self.paths.items():
-                    self._nursery.start_soon(self._downward, sock, client)
-                self._nursery.start_soon(self._commands)
-                status = await self._until_over()
-                self._nursery.cancel_scope.cancel()
+            await self._state.paths.open(self._client_address, endpoint.address)
+            await self.receive(header, datagram, self._client_address)
+            await self._relay.run()
         finally:
-            self.handle.report_ended(status, closed=True)
+            self._close()
 
-    async def _downward(self, sock: trio.socket.SocketType, client: Address) -> None:
-        while True:
-            try:
-                data = await sock.recv(MAX_DATAGRAM_BYTES)
-            except trio.ClosedResourceError:  # gave way to a newer address
-                return
-            except OSError:
-                if self.paths.get(client) is sock:
-                    self._lost = True  # refused by ICMP: the server's process is gone
-                return
-            self._answered()
-            with suppress(PacketError):
-                self.learn(parse_header(data, self.frontend.form.length).source_connection_id)
-            with suppress(OSError):
-                await self.frontend.send(data, client)
-
-    def _answered(self) -> None:
-        self.quiet_since = trio.current_time()
-        self._unanswered, self._asked_at = 0, math.inf
-
-    async def _until_over(self) -> AttemptStatus:
-        """QUIC hides its closes: a connection is over once quiet, or once its server refuses or is silent."""
-        while not self._lost:
-            await trio.sleep(LOOK_S)
-            now = trio.current_time()
-            if self._leaving:
-                return AttemptStatus.CANCELLED
-            if self._unanswered >= SILENT_PACKETS and now - self._asked_at > SILENT_S:
-                break
-            if now - self.quiet_since > IDLE_S:
-                return AttemptStatus.OK
-        log.warning("quic-server-lost server=%s request=%d", self.handle.endpoint_id, self.handle.id)
-        return AttemptStatus.CONNECTION_RESET
-
-    async def _commands(self) -> None:
-        """A balancer cannot tell a QUIC client to move; when it stops itself, others route its ids."""
+    async def _establish(self) -> bool:
+        """Carry out the engine's commands, one attempt after another; return whether a server was found."""
         while True:
-            await self.handle.next_command()
-            self._leaving = self.frontend.engine.stopping
-            self.frontend.count("moves-untold")
-
-    def _close_paths(self) -> None:
-        for sock in self.paths.values():
-            sock.close()
-        self.paths.clear()
-
-    def _end(self) -> None:
-        self._close_paths()
-        for cid in self.ids:
-            self.frontend.connections.pop(cid, None)
-        self.handle.close()
+            command = await self._state.handle.next_command()
+            if isinstance(command, Reject | Fail):
+                await self._refuse()
+                return False
+            if isinstance(command, StartAttempt):
+                failure = await self._handshake.attempt(command)
+                if failure is None:
+                    return True
+                self._state.paths.close_all()
+                self._state.handle.report_ended(failure)
+
+    async def _refuse(self) -> None:
+        """Send the client its final answer; packets that it sends again get the same for a while."""
+        self._refusal = self._handshake.build_refusal()
+        log.info("quic_request_rejected request=%d", self._state.handle.id)
+        with suppress(OSError):
+            await self._state.context.send_to_client(self._refusal, self._handshake.client_address)
+        await trio.sleep(CLOSING_PERIOD_S)
+
+    def _close(self) -> None:
+        self._state.paths.close_all()
+        self._state.connection_ids.remove_all()
+        self._state.handle.close()
--- /dev/null
+++ b/walkloom/frontends/quic/connection_state.py
@@ -0,0 +1,27 @@
+"""What the stages of one connection share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from walkloom.engine.engine import RequestHandle
+from walkloom.frontends.quic.activity import ActivityMonitor
+from walkloom.frontends.quic.connection_context import ConnectionContext
+from walkloom.frontends.quic.connection_table import ConnectionIds
+from walkloom.frontends.quic.server_paths import ServerPaths
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionState:
+    """The parts of one connection that outlive a stage."""
+
+    context: ConnectionContext
+
+    # The connection as the engine knows it.
+    handle: RequestHandle
+
+    connection_ids: ConnectionIds
+
+    paths: ServerPaths
+
+    activity: ActivityMonitor
--- a/walkloom/frontends/quic/settings.py
+++ b/walkloom/frontends/quic/settings.py
@@ -9,11 +9,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeAlias
 
 from walkloom.config import ConfigError, SettingNames, address
 from walkloom.frontends.quic.connection_id import ConnectionIdFormat
 
+# Host and UDP port.
+SocketAddress: TypeAlias = tuple[str, int]
+
 
 @dataclass(frozen=True, slots=True)
 class QuicEndpoint:
@@ -26,7 +29,7 @@
     server_id: bytes
 
     # Host and UDP port; key `address`.
-    address: tuple[str, int]
+    address: SocketAddress
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +37,7 @@
     """The configuration of the QUIC frontend."""
 
     # Host and UDP port; key `listen`.
-    listen: tuple[str, int]
+    listen: SocketAddress
 
     # Keys `config_id`, `server_id_length` and `nonce_length`.
     connection_id_format: ConnectionIdFormat
