--- a/tests/frontends/quic/__init__.py
+++ b/tests/frontends/quic/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the QUIC frontend."""
