--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -10,11 +10,14 @@
 
 import orjson
 
-from walkloom import interface as f
-from walkloom import wire
+from walkloom.messages import Settings
+from walkloom.simulator import codec
 
 T = TypeVar("T")
-SOCKETS, SOCKETS_LEAST = 1024, 24  # where the file sets no limit; room for two RPCs beside net.budget.OWN
+SOCKETS, SOCKETS_LEAST = (
+    1024,
+    24,
+)  # where the file sets no limit; room for two RPCs beside transport.descriptor_limit.OWN
 LONGEST_LEAST = 1.0  # ms
 
 
@@ -23,13 +26,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Names:
+class SettingNames:
     """The settings' names, in the order in which the module numbers them."""
 
     classes: tuple[str, ...]
     tenants: tuple[str, ...]
     zones: tuple[str, ...]
-    kinds: tuple[str, ...]
+    machine_types: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +43,8 @@
     seed: int
     sockets: int  # descriptors that this process may hold
     known: bytes  # the list as this balancer had it last, in discovery's form
-    settings: f.Settings
-    names: Names
+    settings: Settings
+    names: SettingNames
     fields: tuple[str, ...]  # of a load report, in the settings' order
     connect_timeout: float  # ms
     longest: float  # the longest time that a client waits for its answer, ms
@@ -92,12 +95,12 @@
     )
 
 
-def _settings(data: Any) -> tuple[f.Settings, Names, tuple[str, ...], float, float]:
+def _settings(data: Any) -> tuple[Settings, SettingNames, tuple[str, ...], float, float]:
     """For the module; all names; fields of a load report; connect timeout and longest deadline in ms."""
-    profile = wire.Profile(wire.paths_of(data))
+    profile = codec.SettingsReader(codec.flatten_settings(data))
     # on sockets loads are asked before a placement; the simulator's wire tells more without
-    settings = replace(wire.settings(profile), tells_delay=False)
-    names = Names(
+    settings = replace(codec.settings(profile), server_reports_latency=False)
+    names = SettingNames(
         _names(data, "classes"), _names(data, "accounts"), _names(data, "azs"), _names(data, "kinds")
     )
     if len(set(names.classes)) < len(names.classes):
