--- /dev/null
+++ b/tests/discovery/test_codec.py
@@ -0,0 +1,83 @@
+"""Bodies of discovery's responses, and the endpoint list updates that they become."""
+
+from __future__ import annotations
+
+import logging
+
+import orjson
+import pytest
+
+from walkloom.config import SettingNames
+from walkloom.discovery.codec import decode
+from walkloom.discovery.errors import DiscoveryError, MalformedEndpointListError
+from walkloom.messages import Endpoint, EndpointListUpdate, Lifecycle, UpdateKind
+
+NAMES = SettingNames(classes=(), tenants=(), zones=("north", "south"), machine_types=("small",))
+MINIMAL_ENTRY = {"instanceId": "a", "hostPort": "10.0.0.1:80", "lifecycle": "up"}
+
+
+def body(*entries: object, reset: bool = True) -> bytes:
+    return orjson.dumps({"generation": 7, "reset": reset, "instances": entries})
+
+
+def test_every_key_of_an_entry_is_decoded() -> None:
+    entry = {
+        "instanceId": "a",
+        "hostPort": "10.0.0.1:80",
+        "zone": "south",
+        "machineType": "small",
+        "cell": 3,
+        "lifecycle": "draining",
+        "weight": 2.5,
+        "startedAtMs": 1000,
+    }
+    response = decode(body(entry), NAMES)
+    endpoint = Endpoint(
+        id="a",
+        zone=1,
+        machine_type=0,
+        cell=3,
+        lifecycle=Lifecycle.DRAINING,
+        capacity_weight=2.5,
+        started_at=1000.0,
+    )
+    assert response.generation == 7
+    assert response.update == EndpointListUpdate(UpdateKind.SNAPSHOT, (endpoint,))
+    assert response.addresses == {"a": ("10.0.0.1", 80)}
+
+
+def test_optional_keys_have_defaults_and_unknown_names_count_as_one_more() -> None:
+    (endpoint,) = decode(body(MINIMAL_ENTRY), NAMES).update.endpoints
+    assert endpoint == Endpoint(id="a", zone=2, machine_type=1)
+
+
+@pytest.mark.parametrize("reset, kind", [(True, UpdateKind.SNAPSHOT), (False, UpdateKind.INCREMENTAL)])
+def test_reset_tells_a_snapshot_from_an_incremental_update(reset: bool, kind: UpdateKind) -> None:
+    assert decode(body(MINIMAL_ENTRY, reset=reset), NAMES).update.kind is kind
+
+
+def test_a_removed_endpoint_needs_no_address() -> None:
+    response = decode(body({"instanceId": "a", "lifecycle": "removed"}), NAMES)
+    assert [endpoint.lifecycle for endpoint in response.update.endpoints] == [Lifecycle.REMOVED]
+    assert response.addresses == {}
+
+
+def test_invalid_entries_are_left_out_and_logged_together(caplog: pytest.LogCaptureFixture) -> None:
+    with caplog.at_level(logging.WARNING, "walkloom"):
+        response = decode(body({"instanceId": "b"}, MINIMAL_ENTRY, "x"), NAMES)
+    assert [endpoint.id for endpoint in response.update.endpoints] == ["a"]
+    (message,) = caplog.messages
+    assert message.startswith("discovery_entries_invalid count=2 last=")
+
+
+def test_an_empty_list_is_a_list() -> None:
+    assert decode(body(), NAMES).update == EndpointListUpdate(UpdateKind.SNAPSHOT)
+
+
+def test_a_malformed_list_names_its_problem() -> None:
+    with pytest.raises(MalformedEndpointListError) as caught:
+        decode(b'{"reset":true,"instances":[]}', NAMES)
+    assert isinstance(caught.value, DiscoveryError)
+    assert isinstance(caught.value.problem, KeyError)
+    assert caught.value.__cause__ is caught.value.problem
+    assert str(caught.value) == "malformed: KeyError('generation')"
--- a/walkloom/discovery/__init__.py
+++ b/walkloom/discovery/__init__.py
@@ -1,1 +1,10 @@
-"""Endpoint discovery: keeps the list of servers and their addresses up to date."""
+"""Endpoint discovery: keeps the list of endpoints and their addresses up to date.
+
+Layers, from the top:
+
+- `watcher` watches discovery and hands each list to the engine.
+- `http_client` makes the long-poll calls over HTTP.
+- `codec` turns the body of a response into an endpoint list update and addresses.
+- `address_book` holds the address of each endpoint.
+- `errors` lists what can go wrong with a call.
+"""
--- /dev/null
+++ b/walkloom/discovery/http_client.py
@@ -0,0 +1,113 @@
+"""Client side of discovery's HTTP: long-poll calls over one HTTP/1.1 connection.
+
+It knows the path and the query of a call, and nothing of what a body holds.
+"""
+
+from __future__ import annotations
+
+import h11
+import trio
+
+from walkloom.discovery.errors import (
+    ConnectTimeoutError,
+    ResponseIncompleteError,
+    ResponseStatusError,
+    ResponseTooLargeError,
+    UnsolicitedResponseError,
+)
+from walkloom.transport.address import SocketAddress
+
+# How long discovery may hold a call while nothing changes; the call names it as `wait`.
+HOLD_MS = 2000
+
+# A discovery that does not accept within this time counts as a failed call, so that the next may come.
+CONNECT_TIMEOUT_S = 1.0
+
+# Bounds the memory that a response can take.
+MAX_BODY_BYTES = 4 << 20
+
+# Bytes asked of the socket in one read.
+RECEIVE_BYTES = 65_536
+
+HTTP_OK = 200
+LIST_PATH = "/registry/instances"
+
+
+class DiscoveryConnection:
+    """One connection to discovery, for calls one after another.
+
+    Besides DiscoveryError, calls raise what a broken connection or a broken HTTP exchange raises: OSError,
+    trio.BrokenResourceError, h11.ProtocolError.
+    """
+
+    def __init__(self, stream: trio.SocketStream, address: SocketAddress) -> None:
+        self._stream = stream
+        self._address = address
+        self._http = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, address: SocketAddress) -> DiscoveryConnection:
+        """Connect to discovery.
+
+        Raises ConnectTimeoutError if it does not accept in CONNECT_TIMEOUT_S, OSError if it refuses.
+        """
+        host, port = address
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            return cls(await trio.open_tcp_stream(host, port), address)
+        raise ConnectTimeoutError(host, port)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another call may be made over this connection."""
+        return self._http.our_state is h11.IDLE
+
+    async def fetch(self, generation: int | None) -> bytes:
+        """Make one call and return the body of its response.
+
+        generation: the version of the list that is held; discovery answers once there is a newer one, or
+        after HOLD_MS. None: the whole list is wanted at once.
+
+        Raises ResponseStatusError, ResponseTooLargeError or ResponseIncompleteError.
+        """
+        await self._stream.send_all(self._encode_request(generation))
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+            elif isinstance(event, h11.Response) and event.status_code != HTTP_OK:
+                raise ResponseStatusError(event.status_code)
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    raise ResponseTooLargeError(len(body))
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ResponseIncompleteError(len(body))
+
+    def finish_call(self) -> None:
+        """Make the connection ready for its next call, if both sides keep it open.
+
+        Raises UnsolicitedResponseError if bytes followed the response: the next call would take them for its
+        own response.
+        """
+        trailing_data, _ = self._http.trailing_data
+        if trailing_data.strip():
+            raise UnsolicitedResponseError(trailing_data)
+        if set(self._http.states.values()) == {h11.DONE}:
+            self._http.start_next_cycle()
+
+    async def close(self) -> None:
+        """Close the connection without waiting for the other side."""
+        await trio.aclose_forcefully(self._stream)
+
+    def _encode_request(self, generation: int | None) -> bytes:
+        host, port = self._address
+        target = LIST_PATH
+        if generation is not None:
+            target += f"?index={generation}&wait={HOLD_MS}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", f"{host}:{port}")])
+        head = self._http.send(request) or b""
+        end = self._http.send(h11.EndOfMessage()) or b""
+        return head + end
--- /dev/null
+++ b/walkloom/transport/address.py
@@ -0,0 +1,8 @@
+"""Socket addresses as the whole program passes them around."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+# Host (a name or an IP address without brackets) and TCP port.
+SocketAddress: TypeAlias = tuple[str, int]
