--- a/walkloom/transport/descriptor_limit.py
+++ b/walkloom/transport/descriptor_limit.py
@@ -1,4 +1,7 @@
-"""Descriptors: what client and upstream connections may hold together, and which client gives way first."""
+"""The descriptors of this process, shared by client connections, upstream connections and load reports.
+
+It decides which idle client connection is closed when descriptors run short.
+"""
 
 from __future__ import annotations
 
@@ -9,34 +12,48 @@
 
 from walkloom.transport.rate_limited_log import RateLimitedLog
 
-OWN = 16  # standard streams, listener, watch, the event loop's, and a few on the way to being closed
-PROBE_PART = 8  # probes' part of all is one in so many
+# Standard streams, listener, the connection to discovery, those of the event loop, and a few that are being
+# closed.
+RESERVED_DESCRIPTORS = 16
+
+# Load report connections may hold one descriptor in so many.
+DESCRIPTORS_PER_LOAD_REPORT_CONNECTION = 8
 
 
 class DescriptorLimit:
-    """Guards attempts, probes and the watch against clients that use up the descriptors they need."""
+    """How many descriptors connections may hold together.
+
+    Without it, clients that open connections and send nothing could take every descriptor, and none would be
+    left for upstream connections, load reports and the call to discovery.
+    """
 
     def __init__(self, sockets: int) -> None:
-        self.load_report_connections = sockets // PROBE_PART
-        self._room = sockets - self.load_report_connections - OWN
-        # client connections that hold no RPC, the longest so first
+        """sockets: the descriptors that this process may hold."""
+        self.load_report_connections = sockets // DESCRIPTORS_PER_LOAD_REPORT_CONNECTION
+        self._available = sockets - self.load_report_connections - RESERVED_DESCRIPTORS
+
+        # Client connections that carry no request, the one idle for longest first; values are unused.
         self._reclaimable: dict[trio.CancelScope, None] = {}
-        self._reclaimed = RateLimitedLog("channel-shed")
+        self._closed_log = RateLimitedLog("idle_connections_closed")
 
     @contextmanager
     def acquire(self) -> Iterator[bool]:
-        """One more descriptor; False where there is room for none although all reclaimable ones gave way."""
-        self._room -= 1
+        """Hold one descriptor for the length of the block.
+
+        Yields False if none is left and no idle connection could be closed for it.
+        """
+        self._available -= 1
         try:
-            yield self._room >= 0 or self.reclaim_oldest()
+            yield self._available >= 0 or self.reclaim_oldest()
         finally:
-            self._room += 1
+            self._available += 1
 
     @contextmanager
     def reclaimable(self, scope: trio.CancelScope) -> Iterator[None]:
-        """A client connection that waits for its request line, or has its answer.
+        """Mark a client connection as idle for the length of the block.
 
-        Its scope ends if others need its descriptor.
+        It waits for its request line, or has its answer. Its scope is cancelled if others need its
+        descriptor.
         """
         self._reclaimable[scope] = None
         try:
@@ -45,9 +62,12 @@
             self._reclaimable.pop(scope, None)
 
     def reclaim_oldest(self) -> bool:
-        """Ends the client connection that has been spare for longest, if there is one."""
-        if scope := next(iter(self._reclaimable), None):
-            del self._reclaimable[scope]
-            scope.cancel()
-            self._reclaimed.count(f"spare {len(self._reclaimable)}")
-        return scope is not None
+        """Close the client connection that has been idle for longest; False if there is none."""
+        scope = next(iter(self._reclaimable), None)
+        if scope is None:
+            return False
+        # Here, not when its task ends: two callers in one tick must not count on the same descriptor.
+        del self._reclaimable[scope]
+        scope.cancel()
+        self._closed_log.count(f"idle {len(self._reclaimable)}")
+        return True
--- a/walkloom/transport/line_stream.py
+++ b/walkloom/transport/line_stream.py
@@ -1,4 +1,4 @@
-"""Lines over one TCP stream, of a client connection or an upstream connection (tile server)."""
+"""Lines over one TCP stream, of a client connection or an upstream connection."""
 
 from __future__ import annotations
 
@@ -8,56 +8,72 @@
 
 import trio
 
-LONGEST = 4096  # bytes of a line, its CRLF included
-CHUNK = 16_384
-LINGER_S = 0.8  # how long a side that was told the end may take to end its own
-DRAIN_MOST = 8 << 20  # bytes that may still come from it meanwhile, unread
-_VOID = bytearray(1 << 18)  # what is read to be dropped; Linux does not even copy it
+from walkloom.transport.address import SocketAddress
+
+# Longest line that the protocol allows, its CRLF included.
+MAX_LINE_BYTES = 4096
+
+# Bytes asked of the socket in one read.
+RECEIVE_BYTES = 16_384
+
+# How long the other side may take to end its sending after ours has ended.
+LINGER_S = 0.8
+
+# Bytes that may still come from the other side meanwhile, unread.
+MAX_DISCARDED_BYTES = 8 << 20
+
+# SO_LINGER on, with a time of 0 s: closing the socket sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+# Target of reads whose bytes are dropped; with MSG_TRUNC Linux does not even copy them.
+_DISCARD_BUFFER = bytearray(1 << 18)
 
 
 class LineError(ValueError):
     """A line longer than the protocol allows."""
 
+    def __init__(self, received_bytes: int) -> None:
+        super().__init__(f"a line of over {MAX_LINE_BYTES} bytes")
+        self.received_bytes = received_bytes
+
 
 class LineStream:
+    """One TCP stream, read by lines.
+
+    Reads raise LineError, and trio.BrokenResourceError if the connection broke.
+    """
+
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._buffer = bytearray()
-        self._writing = trio.Lock()
-        self._unsent = bytearray()  # of what was given to send, also by a task that was cancelled
-        self.ended = False  # the other side has ended its sending
+        self._send_lock = trio.Lock()
 
-    async def _more(self) -> bool:
-        data = b"" if self.ended else await self._stream.receive_some(CHUNK)
-        self.ended = not data
-        self._buffer += data
-        return not self.ended
+        # What was given to `send` and has not gone out, also by a task that was cancelled.
+        self._unsent = bytearray()
+
+        # Whether the other side has ended its sending.
+        self.ended = False
 
     async def read_line(self) -> bytes:
-        """The next line with its end; empty once the stream has ended."""
-        while (end := self._buffer.find(b"\n") + 1) == 0:
-            self._check(len(self._buffer))
-            if not await self._more():
+        """Return the next line with its end; nothing once the stream has ended."""
+        end = self._buffer.find(b"\n") + 1
+        while end == 0:
+            _check_line_length(len(self._buffer))
+            if not await self._receive():
                 return b""
-        self._check(end)
-        line = bytes(self._buffer[:end])
-        del self._buffer[:end]
-        return line
+            end = self._buffer.find(b"\n") + 1
+        _check_line_length(end)
+        return self._take(end)
 
     async def read_complete_lines(self) -> bytes:
-        """All whole lines that have come; at the end of the stream the rest, then nothing."""
-        while (end := self._buffer.rfind(b"\n") + 1) == 0:
-            self._check(len(self._buffer))
-            if not await self._more():
-                end = len(self._buffer)
-                break
-        data = bytes(self._buffer[:end])
-        del self._buffer[:end]
-        return data
-
-    def _check(self, length: int) -> None:
-        if length > LONGEST:
-            raise LineError(f"a line of over {LONGEST} bytes")
+        """Return all whole lines that have come; at the end of the stream the rest, then nothing."""
+        end = self._buffer.rfind(b"\n") + 1
+        while end == 0:
+            _check_line_length(len(self._buffer))
+            if not await self._receive():
+                return self._take(len(self._buffer))
+            end = self._buffer.rfind(b"\n") + 1
+        return self._take(end)
 
     @property
     def has_buffered_input(self) -> bool:
@@ -65,56 +81,95 @@
         return bool(self._buffer)
 
     async def wait_for_input(self) -> bool:
-        """Waits until the other side sends something more, or ends: False."""
+        """Wait until the other side sends something more; False if it ends or breaks instead."""
         with suppress(trio.BrokenResourceError):
-            return await self._more()
+            return await self._receive()
         return False
 
     async def send(self, data: bytes) -> None:
-        """All of it, and before it what a cancelled task has left: guards whole lines against being lost, and
-        MOVE and answers against landing within a line that was cut off."""
+        """Send all of it, and before it what a cancelled task has left.
+
+        A line that a cancelled task had begun is completed first: it would otherwise be lost, and the next
+        line (an answer, MOVE) would land within its first half.
+
+        Raises trio.ClosedResourceError if another task of ours has closed the stream, else
+        trio.BrokenResourceError.
+        """
         self._unsent += data
-        async with self._writing:
+        async with self._send_lock:
             try:
                 while self._unsent:
-                    del self._unsent[: await self._stream.socket.send(self._unsent)]
+                    sent_bytes = await self._stream.socket.send(self._unsent)
+                    del self._unsent[:sent_bytes]
             except OSError as error:
-                closed = self._stream.socket.fileno() < 0  # by another task of ours
-                raise (trio.ClosedResourceError if closed else trio.BrokenResourceError)(str(error)) from None
+                if self._stream.socket.fileno() < 0:
+                    raise trio.ClosedResourceError(str(error)) from error
+                raise trio.BrokenResourceError(str(error)) from error
 
     async def send_eof(self) -> None:
-        """Passes on a FIN."""
+        """End our sending with a FIN."""
         with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await self._stream.send_eof()
 
     async def close_gently(self) -> None:
-        """FIN, then reads on until the other side ends, within bounds: guards the last line against the
-        reset that closing with unread bytes would cause."""
-        left = DRAIN_MOST
+        """Send a FIN, then discard what comes until the other side ends, and close.
+
+        Closing with unread bytes sends a reset, which can overtake the last line. Bounded by LINGER_S and
+        MAX_DISCARDED_BYTES.
+        """
         with trio.move_on_after(LINGER_S), suppress(OSError, trio.ClosedResourceError):
             await self.send_eof()
-            while left > 0 and (got := await self._stream.socket.recv_into(_VOID, 0, socket.MSG_TRUNC)):
-                left -= got
+            remaining_bytes = MAX_DISCARDED_BYTES
+            while remaining_bytes > 0:
+                discarded_bytes = await self._discard()
+                if not discarded_bytes:
+                    break
+                remaining_bytes -= discarded_bytes
         await self.close()
 
     async def drain(self) -> None:
-        """Drops what has come by now, within bounds."""
-        left = DRAIN_MOST
+        """Discard what has come by now, MAX_DISCARDED_BYTES at most."""
+        remaining_bytes = MAX_DISCARDED_BYTES
         with suppress(OSError, trio.ClosedResourceError):
-            while left > 0 and self._stream.socket.is_readable():
-                left -= await self._stream.socket.recv_into(_VOID, 0, socket.MSG_TRUNC) or left
+            while remaining_bytes > 0 and self._stream.socket.is_readable():
+                discarded_bytes = await self._discard()
+                if not discarded_bytes:  # an ended stream stays readable
+                    break
+                remaining_bytes -= discarded_bytes
 
     async def close(self) -> None:
+        """Close the stream without waiting for the other side."""
         await trio.aclose_forcefully(self._stream)
 
     async def reset(self) -> None:
+        """Close the stream with a reset."""
         with suppress(OSError):
-            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await self.close()
 
+    async def _receive(self) -> bool:
+        """Read more into the buffer; False once the stream has ended."""
+        data = b"" if self.ended else await self._stream.receive_some(RECEIVE_BYTES)
+        self.ended = not data
+        self._buffer += data
+        return not self.ended
+
+    def _take(self, length: int) -> bytes:
+        """Remove the first bytes of the buffer and return them."""
+        data = bytes(self._buffer[:length])
+        del self._buffer[:length]
+        return data
+
+    async def _discard(self) -> int:
+        """Read once and drop what came; return its length, 0 at the end of the stream."""
+        return await self._stream.socket.recv_into(_DISCARD_BUFFER, 0, socket.MSG_TRUNC)
+
 
-async def open_line_stream(address: tuple[str, int]) -> LineStream | None:
-    """None if nothing accepts there; OSError if we have no descriptor left."""
+async def open_line_stream(address: SocketAddress) -> LineStream | None:
+    """Connect to an address; None if nothing accepts there.
+
+    Raises OSError if this process has no descriptor left.
+    """
     sock = trio.socket.socket()
     try:
         await sock.connect(address)
@@ -128,4 +183,11 @@
 
 
 def first_word(line: bytes) -> bytes:
-    return line.split(None, 1)[0] if line.strip() else b""
+    """Return what stands before the first white space of a line; nothing for an empty line."""
+    words = line.split(None, 1)
+    return words[0] if words else b""
+
+
+def _check_line_length(length: int) -> None:
+    if length > MAX_LINE_BYTES:
+        raise LineError(length)
--- a/walkloom/transport/rate_limited_log.py
+++ b/walkloom/transport/rate_limited_log.py
@@ -1,4 +1,4 @@
-"""Log lines for what may come by the thousand: guards the CPU, a line a second for each kind is enough."""
+"""Log events that may come by the thousand, as one line a second with their count."""
 
 from __future__ import annotations
 
@@ -8,15 +8,24 @@
 import trio
 
 log = logging.getLogger("walkloom")
-PAUSE_S = 1.0
+
+# Writing a line for each of thousands of events a second would take the CPU that connections need.
+MIN_INTERVAL_S = 1.0
 
 
 class RateLimitedLog:
+    """One kind of event, logged once a second at most, as `event count=N last='...'`."""
+
     def __init__(self, event: str) -> None:
-        self._event, self._count, self._told_at = event, 0, -math.inf
+        self._event = event
+        self._count_since_logged = 0
+        self._logged_at = -math.inf
 
     def count(self, last: str) -> None:
-        self._count += 1
-        if (now := trio.current_time()) - self._told_at >= PAUSE_S:
-            log.warning("%s count=%d last=%r", self._event, self._count, last)
-            self._count, self._told_at = 0, now
+        """Count one event, and log the count if the interval is over; last: what to say of this one."""
+        self._count_since_logged += 1
+        now = trio.current_time()
+        if now - self._logged_at >= MIN_INTERVAL_S:
+            log.warning("%s count=%d last=%r", self._event, self._count_since_logged, last)
+            self._count_since_logged = 0
+            self._logged_at = now
