--- a/walkloom/load_reports/poller.py
+++ b/walkloom/load_reports/poller.py
@@ -1,4 +1,4 @@
-"""Beside the RPCs: asks servers for their load when the policy wants it, over one connection each."""
+"""Polls endpoints for their load reports when the policy asks, over one connection to each."""
 
 from __future__ import annotations
 
@@ -9,96 +9,122 @@
 
 from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.engine.engine import Engine
+from walkloom.load_reports.codec import MAX_LOGGED_CHARACTERS, REFUSAL_WORD, REPORT_WORD, REQUEST, decode
+from walkloom.load_reports.connection import LoadReportConnection
+from walkloom.load_reports.errors import UnexpectedResponseError
 from walkloom.messages import EndpointId
-from walkloom.transport.line_stream import LineStream, first_word, open_line_stream
+from walkloom.transport.line_stream import LineStream, first_word
 from walkloom.transport.rate_limited_log import RateLimitedLog
 
+__all__ = ["LoadReportPoller", "decode"]
+
 log = logging.getLogger("walkloom")
-ANSWER_S = 0.5
-FIGURE_MOST = 1e6
-IDLE_S = 10.0  # a connection that no probe has used for so long is closed
+
+# A poll that takes longer, connecting included, has failed: its figures would be old.
+POLL_TIMEOUT_S = 0.5
+
+# A connection that no poll has used for so long is closed, so that its descriptor serves another endpoint.
+IDLE_TIMEOUT_S = 10.0
 
 
 class LoadReportPoller:
-    def __init__(self, engine: Engine, watcher: EndpointWatcher, fields: tuple[str, ...], most: int) -> None:
-        self._engine, self._watcher, self._fields, self._most = engine, watcher, fields, most
-        self._skipped = RateLimitedLog("probe-skipped")
+    """Runs one task for each endpoint that the policy wants polled.
+
+    A task polls its endpoint whenever the policy asks, one poll at a time, and ends when a poll fails or none
+    is asked for during IDLE_TIMEOUT_S.
+    """
+
+    def __init__(
+        self, engine: Engine, watcher: EndpointWatcher, fields: tuple[str, ...], max_connections: int
+    ) -> None:
+        """fields: the figures of a load report, in the order of the settings."""
+        self._engine = engine
+        self._watcher = watcher
+        self._fields = fields
+        self._max_connections = max_connections
+        self._skipped_log = RateLimitedLog("load_report_skipped")
+
+        # Where each running task takes its polls from; holds one poll that has not begun.
         self._open: dict[EndpointId, trio.MemorySendChannel[None]] = {}
 
     async def run(self) -> None:
+        """Pass each order of the policy to the task of its endpoint."""
         async with trio.open_nursery() as nursery:
-            async for server in self._engine.load_report_requests:
-                if server not in self._open:
-                    if len(self._open) >= self._most:  # guards the descriptors in a large fleet
-                        self._skipped.count(f"{server}: {self._most} probed")
-                        continue
-                    self._open[server], asked = trio.open_memory_channel[None](1)
-                    nursery.start_soon(self._stand, server, asked)
-                try:
-                    self._open[server].send_nowait(None)
-                except trio.WouldBlock:
-                    self._skipped.count(f"{server}: the one before is out")
-
-    async def _stand(self, server: EndpointId, asked: trio.MemoryReceiveChannel[None]) -> None:
-        """One server's probes, one at a time, until they fail or stop coming."""
-        line: LineStream | None = None
-        dialed: tuple[str, int] | None = None
+            async for endpoint_id in self._engine.load_report_requests:
+                self._request_poll(endpoint_id, nursery)
+
+    def _request_poll(self, endpoint_id: EndpointId, nursery: trio.Nursery) -> None:
+        """Order one poll, and start the endpoint's task if it has none."""
+        if endpoint_id not in self._open:
+            if len(self._open) >= self._max_connections:
+                self._skipped_log.count(f"{endpoint_id}: {self._max_connections} polled")
+                return
+            orders_in, orders = trio.open_memory_channel[None](1)
+            self._open[endpoint_id] = orders_in
+            nursery.start_soon(self._stand, endpoint_id, orders)
         try:
-            while await _question(asked):
-                with trio.fail_after(ANSWER_S):
-                    address = self._watcher.address(server)
-                    if line and address == dialed:
-                        with suppress(trio.BrokenResourceError):
-                            await self._ask(server, line)
-                            continue
-                    # guards against a server that closes what rests, in this moment too, or has moved
-                    if line:
-                        await line.close()
-                    line, dialed = await open_line_stream(address) if address else None, address
-                    if line is None:
+            self._open[endpoint_id].send_nowait(None)
+        except trio.WouldBlock:
+            self._skipped_log.count(f"{endpoint_id}: the poll before is pending")
+
+    async def _stand(self, endpoint_id: EndpointId, orders: trio.MemoryReceiveChannel[None]) -> None:
+        """Poll one endpoint, one poll at a time, until one fails or no order comes."""
+        connection = LoadReportConnection()
+        try:
+            while await _wait_for_order(orders):
+                with trio.fail_after(POLL_TIMEOUT_S):
+                    if not await self._poll(endpoint_id, connection):
                         return
-                    await self._ask(server, line)
-        except Exception as error:  # guards the program: a probe that breaks ends itself only
-            log.info("probe-failed server=%s error=%r", server, error)
+        except Exception as error:  # noqa: BLE001 - a poll that fails ends this task, never the program
+            log.info("load_report_failed endpoint=%s error=%r", endpoint_id, error)
         finally:
-            del self._open[server]
-            if line:
-                with trio.CancelScope(shield=True):
-                    await line.close()
-
-    async def _ask(self, server: EndpointId, line: LineStream) -> None:
-        start = self._engine.now()
-        await line.send(b"STATS\r\n")
-        answer = await line.read_line()
-        if not answer:
+            # Before the close, which lets other tasks run: an order that comes meanwhile must start a new
+            # task, not wait for this one.
+            del self._open[endpoint_id]
+            await connection.close()
+
+    async def _poll(self, endpoint_id: EndpointId, connection: LoadReportConnection) -> bool:
+        """Poll once; False if nothing accepts at the endpoint's address."""
+        address = self._watcher.address(endpoint_id)
+        stream = connection.stream_to(address)
+        if stream:
+            # An endpoint may close an idle connection in the moment of the poll: that is retried once, over a
+            # new connection, and says nothing of its load.
+            with suppress(trio.BrokenResourceError):
+                await self._exchange(endpoint_id, stream)
+                return True
+        stream = await connection.reconnect(address)
+        if stream is None:
+            return False
+        await self._exchange(endpoint_id, stream)
+        return True
+
+    async def _exchange(self, endpoint_id: EndpointId, stream: LineStream) -> None:
+        """Send one poll and hand its load report to the engine.
+
+        Raises LoadReportError, or trio.BrokenResourceError if the connection ended.
+        """
+        started_at = self._engine.now()
+        await stream.send(REQUEST)
+        line = await stream.read_line()
+        if not line:
             raise trio.BrokenResourceError("ended")
-        # not now: guards the server against a new connection for each such answer
-        if first_word(answer) == b"ERR":
+        if first_word(line) == REFUSAL_WORD:
+            # No failure: that would end the task, and cost a new connection for each refusal.
             return
-        if first_word(answer) != b"PONG":
-            raise ValueError(answer)
-        self._engine.load_report_received(server, self._engine.now() - start, decode(answer, self._fields))
+        if first_word(line) != REPORT_WORD:
+            raise UnexpectedResponseError(f"no load report: {line[:MAX_LOGGED_CHARACTERS]!r}", line)
+        elapsed_ms = self._engine.now() - started_at
+        self._engine.load_report_received(endpoint_id, elapsed_ms, decode(line, self._fields))
 
 
-async def _question(asked: trio.MemoryReceiveChannel[None]) -> bool:
-    """The next question; False if none comes for long."""
-    with trio.move_on_after(IDLE_S):
-        await asked.receive()
+async def _wait_for_order(orders: trio.MemoryReceiveChannel[None]) -> bool:
+    """Wait for the next order; False if none comes during IDLE_TIMEOUT_S."""
+    with trio.move_on_after(IDLE_TIMEOUT_S):
+        await orders.receive()
         return True
-    with suppress(trio.WouldBlock):  # guards one that came in the tick in which the time was over
-        asked.receive_nowait()
+    # An order may have come in the tick in which the time was over; it would be lost with the task.
+    with suppress(trio.WouldBlock):
+        orders.receive_nowait()
         return True
     return False
-
-
-def decode(answer: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report of a PONG, in the settings' order; empty where it has none or lacks a field. ValueError
-    where a figure is none: one nan would spoil the means that the module keeps."""
-    parts = answer.decode("ascii").split()
-    if len(parts) < 2:  # guards the program's start: a server that was never asked has no report yet
-        return ()
-    values = dict(item.split("=", 1) for item in parts[1].split(","))
-    report = tuple(float(values[name]) for name in fields) if values.keys() >= set(fields) else ()
-    if not all(0.0 <= x <= FIGURE_MOST for x in report):
-        raise ValueError(f"no load report: {parts[1][:80]}")
-    return report
