--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -1,7 +1,7 @@
 """The watch on discovery: one call at a time, each list handed to the engine.
 
 It owns the generation of the list, the addresses, and the choice of the discovery that is called. Reading a
-body is the codec's work, the HTTP exchange the client's.
+body is the codec's work, the HTTP exchange the connection's.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from walkloom.discovery.address_book import AddressBook
 from walkloom.discovery.codec import EndpointListResponse, decode
 from walkloom.discovery.errors import DiscoveryError
-from walkloom.discovery.http_client import HOLD_MS, DiscoveryConnection
+from walkloom.discovery.http_connection import HOLD_MS, DiscoveryConnection
 from walkloom.engine.engine import Engine
 from walkloom.messages import EndpointId, EndpointListUpdate, UpdateKind
 from walkloom.transport.address import SocketAddress
