--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -99,13 +99,13 @@
     # The endpoint list as this balancer had it last, in discovery's form; `null` where it had none.
     known: bytes
 
-    # What the policy is told.
+    # What the policy needs to know of the service.
     settings: Settings
 
     # The names behind the indexes in `settings`.
     names: SettingNames
 
-    # The fields of a load report that the policy is told, in its order.
+    # The fields of a load report that go to the policy, in this order.
     fields: tuple[str, ...]
 
     # How long connecting to an endpoint may take, ms.
