--- a/benchmarks/client/__init__.py
+++ b/benchmarks/client/__init__.py
@@ -1,4 +1,4 @@
-"""What a drain and an outage do, by how the clients retry: python -m benchmarks.client
+"""What a drain and an outage do, by how the clients retry: python -m benchmarks.client.
 
 Real balancers as processes and stub servers on loopback. Seeded, bounded, about a minute and a half.
 
--- a/benchmarks/client/viewers.py
+++ b/benchmarks/client/viewers.py
@@ -43,6 +43,7 @@
 
     @property
     def established(self) -> bool:
+        """Whether a server holds its connection now."""
         """Whether its session is established now."""
         raise NotImplementedError
 
@@ -57,6 +58,7 @@
 
     @property
     def established(self) -> bool:
+        """Whether a server holds its connection now."""
         return self._established
 
     async def run(self, addresses: Sequence[str], backs_off: bool) -> None:
@@ -120,6 +122,7 @@
 
     @property
     def established(self) -> bool:
+        """Whether a server holds its connection now."""
         return self._session is not None and self._session.established
 
     async def run(self, client: Client) -> None:
--- a/tests/characterisation/test_client_core.py
+++ b/tests/characterisation/test_client_core.py
@@ -224,6 +224,7 @@
         if self.rng.random() < 0.97:
             wait = self.rng.expovariate(1.0 / 30.0)
             self.after(wait, self.say, number, connection, data.upper())
+        return None
 
     def opened(self, number: int, connection: int) -> None:
         """A balancer answers an opening line."""
@@ -239,6 +240,7 @@
             self.after(wait, self.say, number, connection, said)
         if answer in ("up", "split", "late", "up and move"):
             self.after(wait + 1.0, self.chat, number, connection)
+        return None
 
     def said(self, answer: str) -> bytes:
         """The bytes of an answer."""
--- a/tests/characterisation/test_quic.py
+++ b/tests/characterisation/test_quic.py
@@ -237,7 +237,7 @@
         if not data[0] & 0x80:
             if manner != "falls silent" and self.rng.random() < 0.7:
                 self.from_outside(to, source, b"\x40cl" + self.rng.randbytes(20))
-            return
+            return None
         first = data[6 : 6 + data[5]]
         frames = {"refuses": b"\x02\0\0\0\0\x1c\x02\0\0", "closes": b"\x1c\x01\0\0", "silent": b""}.get(
             manner, b"\x06\x00\x04helo"
@@ -246,6 +246,7 @@
             self.from_outside(to, source, b"\xc0\0")
         if frames:
             self.from_outside(to, source, quic.sealed(first, "server", b"cl", own, frames + bytes(20)))
+        return None
 
     def at_client(self, client: Address, data: bytes) -> None:
         """A client learns the id that the server gave it; a refusal is kept by its code alone."""
@@ -258,6 +259,7 @@
         self.note("client", client, data)
         if opened[0] == "gave":
             self.ids[client] = data[7 + data[5] : 7 + data[5] + data[6 + data[5]]]
+        return None
 
     def client_sends(self, client: Address) -> None:
         """A client sends the next thing that comes to its mind."""
--- a/tests/client/test_attempts.py
+++ b/tests/client/test_attempts.py
@@ -50,7 +50,7 @@
 
 
 @pytest.mark.parametrize(
-    "at, kind", [(1198.0, Rejected), (1199.999, Rejected), (1200.0, TimedOut), (1200.5, TimedOut)]
+    ("at", "kind"), [(1198.0, Rejected), (1199.999, Rejected), (1200.0, TimedOut), (1200.5, TimedOut)]
 )
 def test_a_rejection_at_the_deadline_gives_one_result_and_no_retry(
     at: float, kind: type[ClientError]
--- a/tests/client/test_core.py
+++ b/tests/client/test_core.py
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize(
-    "make, text",
+    ("make", "text"),
     [
         (lambda: ClassPolicy("a b", 1, 2), "class name"),
         (lambda: ClassPolicy("a", 3, 2), "aim_ms"),
--- a/tests/client/test_drivers.py
+++ b/tests/client/test_drivers.py
@@ -40,7 +40,7 @@
 
 @both
 @pytest.mark.parametrize(
-    "scripts, error, within, text",
+    ("scripts", "error", "within", "text"),
     [
         (["hold"], TimedOut, 1200, "no answer"),
         (["raw BUSY 10\nhold"], TimedOut, 1200, "no answer"),
@@ -71,6 +71,7 @@
                 await session.send("a")
 
     run(body, Balancer(scripts))
+    return None
 
 
 @both
--- a/tests/client/test_properties.py
+++ b/tests/client/test_properties.py
@@ -46,12 +46,12 @@
             sessions.append(harness.open(str(what)))
         except ClientError:
             harness.step()
-        return
+        return None
     if op == "wait":
         return harness.advance(float(what))  # type: ignore[arg-type]
     number, text = what if isinstance(what, tuple) else (what, "")
     if not sessions:
-        return
+        return None
     session = sessions[number % len(sessions)]
     if op == "accept":
         harness.accept(session)
@@ -69,6 +69,7 @@
             harness.core.take_pending(session)
     elif op == "say":
         harness.say(session, text)
+    return None
 
 
 @settings(max_examples=WIDE, deadline=None, derandomize=True)
--- a/tests/discovery/test_codec.py
+++ b/tests/discovery/test_codec.py
@@ -51,7 +51,7 @@
     assert endpoint == Endpoint(id="a", zone=2, machine_type=1)
 
 
-@pytest.mark.parametrize("reset, kind", [(True, UpdateKind.SNAPSHOT), (False, UpdateKind.INCREMENTAL)])
+@pytest.mark.parametrize(("reset", "kind"), [(True, UpdateKind.SNAPSHOT), (False, UpdateKind.INCREMENTAL)])
 def test_reset_tells_a_snapshot_from_an_incremental_update(reset: bool, kind: UpdateKind) -> None:
     assert decode(body(MINIMAL_ENTRY, reset=reset), NAMES).update.kind is kind
 
--- a/tests/frontends/line/harness.py
+++ b/tests/frontends/line/harness.py
@@ -46,7 +46,7 @@
         await self.part(text + r"\r\n")
 
     async def part(self, text: str) -> None:
-        """Send text without a line's end; escapes such as \\r\\n stand for what they name."""
+        r"""Send text without a line's end; escapes such as \r\n stand for what they name."""
         await self.lines.send(text.encode().decode("unicode_escape").encode())
 
     async def flood(self) -> None:
--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -346,7 +346,7 @@
 @pytest.mark.parametrize("figure", ["nan", "inf", "-1", "1e300", "x"])
 def test_a_report_that_is_no_number_is_none(figure: str) -> None:
     assert decode_report(b"PONG x0=0.5\r\n", ("x0",)) == (0.5,)
-    with pytest.raises(ValueError):
+    with pytest.raises(ValueError, match=r"x0|could not convert"):
         decode_report(f"PONG x0={figure}\r\n".encode(), ("x0",))
 
 
--- a/tests/importers/test_apache.py
+++ b/tests/importers/test_apache.py
@@ -31,7 +31,7 @@
 
 
 @pytest.mark.parametrize(
-    "text, problem",
+    ("text", "problem"),
     [
         ("BalancerMember http://h", "line 1: BalancerMember outside"),
         ("<Proxy balancer://x>\nBalancerMember", "line 2: BalancerMember without"),
--- a/tests/importers/test_mod_jk.py
+++ b/tests/importers/test_mod_jk.py
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize(
-    "text, problem",
+    ("text", "problem"),
     [
         ("worker.list", "line 1: not key=value"),
         ("worker.list=a\nworker.a.port=x", "line 2: worker a"),
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -536,7 +536,7 @@
 
 
 @pytest.mark.parametrize(
-    "name, value", [("request_classes", ()), ("max_attempts", 0), ("slow_start_min_capacity", 0.0)]
+    ("name", "value"), [("request_classes", ()), ("max_attempts", 0), ("slow_start_min_capacity", 0.0)]
 )
 def test_invalid_setting_is_named(name: str, value: object) -> None:
     with pytest.raises(ValueError, match=name):
@@ -900,8 +900,11 @@
 
 
 def test_a_cold_server_is_used_by_balancers_that_have_lost_their_own_connections() -> None:
-    """After two thirds of the servers went, new ones stayed idle for 5 s: the cold budget followed from
-    connections held, and nobody held any. Of 200 balancers, each passed over homes that were new."""
+    """After two thirds of the servers went, new ones stayed idle for 5 s.
+
+    The cold budget followed from connections held, and nobody held any. Of 200 balancers, each passed over
+    endpoints of a group that were new.
+    """
     rigs = [
         Rig(seed, **PULL, connection_quota=80.0, balancer_count=40, polls_endpoint_list=True)
         for seed in range(40)
@@ -924,8 +927,11 @@
 
 
 def test_a_group_keeps_to_few_servers_through_a_release() -> None:
-    """Roll, seed 1: 71 pairs of server and group came to 344 in 16 s, as each balancer passed over homes that
-    were cold for it or near full, and each pair costs its server three connections."""
+    """Roll, seed 1: 71 pairs of server and group came to 344 in 16 s.
+
+    Each balancer passed over endpoints of a group that were cold for it or near full, and each pair costs its
+    server three connections.
+    """
     rigs = [Rig(seed, **PULL, connection_quota=2400.0, balancer_count=60) for seed in range(60)]
     lines = [Endpoint(f"s{n}") for n in range(20)]
     for n, rig in enumerate(rigs):
--- a/tests/simulator/test_codec.py
+++ b/tests/simulator/test_codec.py
@@ -115,7 +115,7 @@
 
 
 @pytest.mark.parametrize(
-    "action, code, body",
+    ("action", "code", "body"),
     [
         (Reject(9, 250.0), 1010, struct.pack(">HQd", 3, 9, 250.0)),
         (Fail(9), 1020, struct.pack(">HQ", 3, 9)),
@@ -184,7 +184,7 @@
 
 
 @pytest.mark.parametrize(
-    "bad, what",
+    ("bad", "what"),
     [
         (b"\0" * 5, "header cut short"),
         (frame(record(1070, b"\0\0")), "record 0 .code 1070. at byte 12: needs 6 bytes"),
@@ -201,7 +201,7 @@
 
 
 @pytest.mark.parametrize(
-    "line, key",
+    ("line", "key"),
     [
         ("classes.0.goal-time=soon", "classes.0.goal-time"),
         ("classes.0.repeat=often", "classes.0.repeat"),
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize(
-    "listed, code, said",
+    ("listed", "code", "said"),
     [
         (RED + "test_it.py::test_other | x | 1\n", 0, "known red: test_it.py::test_red: counts one too*25)"),
         ("# nothing\n", 1, "*2 failed, 1 passed*"),
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize(
-    "text, what",
+    ("text", "what"),
     [
         (None, "No such file"),
         (b"{", "unexpected end"),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -171,7 +171,9 @@
         assert caught.value.field == key
 
 
-@pytest.mark.parametrize("sockets, works", [(0, False), (23, False), ("x", False), (24, True), (1024, True)])
+@pytest.mark.parametrize(
+    ("sockets", "works"), [(0, False), (23, False), ("x", False), (24, True), (1024, True)]
+)
 def test_the_descriptor_limit_must_leave_room_for_a_request(sockets: Any, works: bool) -> None:
     file = config_file(limits={"sockets": sockets})
     if works:
--- a/tests/transport/test_line_stream.py
+++ b/tests/transport/test_line_stream.py
@@ -59,6 +59,6 @@
     with_peer(use)
 
 
-@pytest.mark.parametrize("line, word", [(b"PONG x=1\r\n", b"PONG"), (b" BYE", b"BYE"), (b"\r\n", b"")])
+@pytest.mark.parametrize(("line", "word"), [(b"PONG x=1\r\n", b"PONG"), (b" BYE", b"BYE"), (b"\r\n", b"")])
 def test_first_word(line: bytes, word: bytes) -> None:
     assert first_word(line) == word
--- a/walkloom/client/on_asyncio.py
+++ b/walkloom/client/on_asyncio.py
@@ -22,7 +22,7 @@
 
 
 class Client(BaseClient):
-    __doc__ = BaseClient.__doc__
+    """A client of the balancers on asyncio; see BaseClient for its methods."""
 
     async def __aenter__(self) -> Self:
         self.loop = asyncio.get_running_loop()
@@ -37,6 +37,7 @@
         await asyncio.sleep(0)  # the sockets close in the loop's next round
 
     def now(self) -> float:
+        """The loop's clock, ms."""
         return self.loop.time() * 1000.0
 
     def _event(self) -> asyncio.Event:
--- a/walkloom/client/on_trio.py
+++ b/walkloom/client/on_trio.py
@@ -29,7 +29,7 @@
 
 
 class Client(BaseClient):
-    __doc__ = BaseClient.__doc__
+    """A client of the balancers on trio; see BaseClient for its methods."""
 
     async def __aenter__(self) -> Self:
         self._rescheduled = trio.Event()
@@ -46,6 +46,7 @@
         await self._nursery_manager.__aexit__(None, None, None)
 
     def now(self) -> float:
+        """The clock of the trio run, ms."""
         return trio.current_time() * 1000.0
 
     def _event(self) -> trio.Event:
--- a/walkloom/engine/engine.py
+++ b/walkloom/engine/engine.py
@@ -236,9 +236,9 @@
         try:
             for action in self._balancer.handle(event, self.now()):
                 self._act(action)
-        except Exception as error:
+        except Exception:
             # Broad on purpose: whatever the fault of the policy is, the other requests go on.
-            log.exception("policy_error event=%s error=%r", type(event).__name__, error)
+            log.exception("policy_error event=%s", type(event).__name__)
             handle = self._handles.get(_request_id(event))
             if handle and not handle.is_established:
                 handle.deliver(Fail(handle.id))
--- a/walkloom/simulator/encoder.py
+++ b/walkloom/simulator/encoder.py
@@ -95,10 +95,9 @@
             return _pack(_REQUEST_RECORD, _GO_AWAY, instance, action.request_id)
         case WatchEndpointList():
             return _pack(_FLAG_RECORD, _WATCH, instance, action.enabled)
-        case LogMessage(text, None):
-            return _encode_text(_JOURNAL_LINE, instance, text)
         case LogMessage(text, endpoint_id):
-            return _encode_text(_JOURNAL_LINE, instance, f"{_address(endpoint_id)}: {text}")
+            place = "" if endpoint_id is None else f"{_address(endpoint_id)}: "
+            return _encode_text(_JOURNAL_LINE, instance, place + text)
     return _encode_unused(instance, action)
 
 
--- a/walkloom/simulator/host.py
+++ b/walkloom/simulator/host.py
@@ -33,7 +33,7 @@
         for instance, event in batch.events:
             try:
                 self._handle(records, InstanceEvent(instance, event), batch.now)
-            except Exception as error:
+            except Exception as error:  # noqa: BLE001 - whatever fails in one balancer is reported as its own
                 self._balancers.pop(instance, None)
                 trace = traceback.format_exc(limit=_TRACEBACK_FRAMES)
                 text = f"{type(error).__name__}: {error} on {event!r:.300}\n{trace}"
--- a/walkloom/simulator/settings.py
+++ b/walkloom/simulator/settings.py
@@ -85,7 +85,7 @@
         return int(self.number(key, default, least, most))
 
     def flag(self, key: str) -> bool:
-        """true or false; false where it is missing."""
+        """Whether the value is `true`; not where it is missing."""
         text = self.text(key, "false")
         if text not in ("true", "false"):
             raise SettingsError(key, f"neither true nor false: {text!r}")
