--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -46,24 +46,28 @@
 OPEN_WITH_LATE_DEADLINE = OPEN.replace("d=2000", "d=3000")
 
 
+def make_config(world: scenario.World, known_endpoints: bytes, longest_deadline_ms: float) -> Config:
+    return Config(
+        name="n0",
+        listen=("127.0.0.1", 0),
+        discovery=("127.0.0.1", 1),
+        seed=1,
+        sockets=1024,
+        known=known_endpoints,
+        settings=world.engine.settings,
+        names=NAMES,
+        fields=(),
+        connect_timeout=world.connect_timeout,
+        longest=longest_deadline_ms,
+    )
+
+
 def build_server(longest_deadline_ms: float = 3000.0) -> Callable[[scenario.World], Awaitable[None]]:
     """Return a builder of a whole balancer before two servers; `terminate` starts its graceful shutdown."""
 
     async def build(world: scenario.World) -> None:
         known_endpoints = await start_servers(world)
-        config = Config(
-            name="n0",
-            listen=("127.0.0.1", 0),
-            discovery=("127.0.0.1", 1),
-            seed=1,
-            sockets=1024,
-            known=known_endpoints,
-            settings=world.engine.settings,
-            names=NAMES,
-            fields=(),
-            connect_timeout=world.connect_timeout,
-            longest=longest_deadline_ms,
-        )
+        config = make_config(world, known_endpoints, longest_deadline_ms)
         process_scope = trio.CancelScope()
         exited = trio.Event()
 
