--- a/walkloom/engine/__init__.py
+++ b/walkloom/engine/__init__.py
@@ -7,6 +7,7 @@
 
 - `engine`: `Engine`, the one owner of the policy; events in, actions out.
 - `request_handle`: `RequestHandle`, one request as its frontend task holds it.
+- `connection_migration`: migrates open connections, spread evenly over a time.
 - `latency_monitor`: `LatencyMonitor`, what messages take at each endpoint.
 - `timer_queue`: `TimerQueue`, the policy's timers.
 - `load_signal`: `LoadSignalClassifier`, tells a load from a message latency.
--- a/walkloom/engine/engine.py
+++ b/walkloom/engine/engine.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from walkloom.engine.connection_migration import migrate_evenly
 from walkloom.engine.latency_monitor import REPORT_INTERVAL_S, EndpointLatency, LatencyMonitor
 from walkloom.engine.load_signal import LoadSignalClassifier
 from walkloom.engine.request_handle import RequestHandle
@@ -58,9 +59,6 @@
 # and the client then reaches another balancer.
 SHUTDOWN_RETRY_AFTER_MS = 500.0
 
-# Connections migrate in steps this far apart, so that they come back to the other balancers spread out.
-MIGRATION_STEP_S = 0.05
-
 
 class Engine:
     """Runs the policy for any number of frontends; to be made inside a trio run.
@@ -305,18 +303,7 @@
         await trio.sleep(delay_s)
         # Until now new requests are served: the balancer that takes over may be starting still.
         self.stopping = True
-        migrated = set[int]()
-        while True:
-            remaining = [
-                handle
-                for handle in self._handles.values()
-                if handle.is_established and handle.id not in migrated
-            ]
-            steps_left = max((end - trio.current_time()) / MIGRATION_STEP_S, 1.0)
-            for handle in remaining[: math.ceil(len(remaining) / steps_left)]:
-                migrated.add(handle.id)
-                handle.deliver(MigrateConnection(handle.id))
-            await trio.sleep(MIGRATION_STEP_S)
+        await migrate_evenly(self._handles.values(), end)
 
     def shut_down(self) -> None:
         """Tell the policy that the balancer ends.
