--- a/tests/frontends/quic/harness.py
+++ b/tests/frontends/quic/harness.py
@@ -43,7 +43,8 @@
     encode_connection_ids,
     parse_header,
 )
-from walkloom.frontends.quic.settings import QuicConfig, QuicEndpoint, SocketAddress
+from walkloom.frontends.quic.settings import QuicConfig, QuicEndpoint
+from walkloom.transport.address import SocketAddress
 
 CONNECTION_ID_FORMAT = ConnectionIdFormat(config_id=1, server_id_length=2, nonce_length=6)
 ANY_LOCAL_PORT = ("127.0.0.1", 0)
--- a/tests/frontends/quic/test_connection_id.py
+++ b/tests/frontends/quic/test_connection_id.py
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize(
-    "config_id, server_id_length, nonce_length", [(7, 2, 6), (0, 0, 6), (0, 2, 3), (0, 8, 12)]
+    ("config_id", "server_id_length", "nonce_length"), [(7, 2, 6), (0, 0, 6), (0, 2, 3), (0, 8, 12)]
 )
 def test_a_format_that_the_draft_excludes_raises(
     config_id: int, server_id_length: int, nonce_length: int
--- a/tests/frontends/quic/test_packet.py
+++ b/tests/frontends/quic/test_packet.py
@@ -21,7 +21,7 @@
 
 
 @pytest.mark.parametrize(
-    "encoded, value", [("c2197c5eff14e88c", 151288809941952652), ("7bbd", 15293), ("25", 37)]
+    ("encoded", "value"), [("c2197c5eff14e88c", 151288809941952652), ("7bbd", 15293), ("25", 37)]
 )
 def test_variable_length_integers_are_read_as_in_rfc_9000_appendix_a_1(encoded: str, value: int) -> None:
     """The RFC's examples of eight, two and one octets."""
--- a/tests/frontends/quic/test_settings.py
+++ b/tests/frontends/quic/test_settings.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize(
-    "old, new, named_in_error",
+    ("old", "new", "named_in_error"),
     [
         ('listen = "127.0.0.1:4433"', "", "listen"),
         ("config_id = 0", "config_id = 9", "config_id"),
--- a/walkloom/frontends/quic/connection.py
+++ b/walkloom/frontends/quic/connection.py
@@ -16,8 +16,9 @@
 from walkloom.frontends.quic.packet import PacketHeader
 from walkloom.frontends.quic.relay import Relay
 from walkloom.frontends.quic.server_paths import ServerPaths
-from walkloom.frontends.quic.settings import QuicEndpoint, SocketAddress
+from walkloom.frontends.quic.settings import QuicEndpoint
 from walkloom.messages import Fail, Reject, StartAttempt
+from walkloom.transport.address import SocketAddress
 
 log = logging.getLogger("walkloom")
 
--- a/walkloom/frontends/quic/connection_context.py
+++ b/walkloom/frontends/quic/connection_context.py
@@ -8,7 +8,8 @@
 from walkloom.engine.engine import Engine
 from walkloom.frontends.quic.connection_table import ConnectionTable
 from walkloom.frontends.quic.drop_counters import DropCounters
-from walkloom.frontends.quic.settings import QuicEndpoint, SocketAddress
+from walkloom.frontends.quic.settings import QuicEndpoint
+from walkloom.transport.address import SocketAddress
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkloom/frontends/quic/connection_table.py
+++ b/walkloom/frontends/quic/connection_table.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from walkloom.frontends.quic.packet import PacketHeader
-from walkloom.frontends.quic.settings import SocketAddress
+from walkloom.transport.address import SocketAddress
 
 # Ids under which one connection is found. A server may give new ids without end; this bounds their memory.
 MAX_IDS_PER_CONNECTION = 8
--- a/walkloom/frontends/quic/frontend.py
+++ b/walkloom/frontends/quic/frontend.py
@@ -27,7 +27,8 @@
     build_version_negotiation,
     parse_header,
 )
-from walkloom.frontends.quic.settings import QuicConfig, QuicEndpoint, SocketAddress
+from walkloom.frontends.quic.settings import QuicConfig, QuicEndpoint
+from walkloom.transport.address import SocketAddress
 
 log = logging.getLogger("walkloom")
 
@@ -80,9 +81,9 @@
             await self._route(datagram, client_address)
         except PacketError:
             self.drop_counters.count(DropReason.MALFORMED)
-        except Exception as error:
+        except Exception:
             # Broad on purpose: whatever is wrong with one datagram, the next ones must be read.
-            log.exception("quic_datagram_error error=%r", error)
+            log.exception("quic_datagram_error")
 
     async def _route(self, datagram: bytes, client_address: SocketAddress) -> None:
         """Pass a datagram to whom it belongs; raises PacketError."""
--- a/walkloom/frontends/quic/handshake.py
+++ b/walkloom/frontends/quic/handshake.py
@@ -14,8 +14,9 @@
 from walkloom.frontends.quic.initial_keys import Sender, derive_initial_keys
 from walkloom.frontends.quic.initial_packet import build_refusal, decrypt_initial
 from walkloom.frontends.quic.packet import MAX_DATAGRAM_BYTES, PacketHeader, PacketType, parse_header
-from walkloom.frontends.quic.settings import QuicEndpoint, SocketAddress
+from walkloom.frontends.quic.settings import QuicEndpoint
 from walkloom.messages import AttemptStatus, StartAttempt
+from walkloom.transport.address import SocketAddress
 
 log = logging.getLogger("walkloom")
 
--- a/walkloom/frontends/quic/relay.py
+++ b/walkloom/frontends/quic/relay.py
@@ -11,8 +11,8 @@
 from walkloom.frontends.quic.drop_counters import DropReason
 from walkloom.frontends.quic.errors import PacketError
 from walkloom.frontends.quic.packet import MAX_DATAGRAM_BYTES, parse_header
-from walkloom.frontends.quic.settings import SocketAddress
 from walkloom.messages import AttemptStatus
+from walkloom.transport.address import SocketAddress
 
 log = logging.getLogger("walkloom")
 
--- a/walkloom/frontends/quic/server_paths.py
+++ b/walkloom/frontends/quic/server_paths.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from walkloom.frontends.quic.settings import SocketAddress
+from walkloom.transport.address import SocketAddress
 
 # Each holds a descriptor; this bounds how many one client can use up by changing its address.
 MAX_PATHS = 4
--- a/walkloom/frontends/quic/settings.py
+++ b/walkloom/frontends/quic/settings.py
@@ -9,13 +9,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, TypeAlias
+from typing import Any
 
 from walkloom.config import ConfigError, SettingNames, address
 from walkloom.frontends.quic.connection_id import ConnectionIdFormat
-
-# Host and UDP port.
-SocketAddress: TypeAlias = tuple[str, int]
+from walkloom.transport.address import SocketAddress
 
 
 @dataclass(frozen=True, slots=True)
