--- a/tests/transport/test_descriptor_limit.py
+++ b/tests/transport/test_descriptor_limit.py
@@ -11,7 +11,7 @@
 
 
 def limit_for(connections: int) -> DescriptorLimit:
-    """Build a limit that leaves room for so many connections, beside the reserved ones and two for load reports."""
+    """Build a limit with room for so many connections, the reserved ones and two load reports apart."""
     descriptor_limit = DescriptorLimit(connections + RESERVED_DESCRIPTORS + 2)
     assert descriptor_limit.load_report_connections == 2
     return descriptor_limit
