--- a/walkloom/load_reports/poller.py
+++ b/walkloom/load_reports/poller.py
@@ -75,7 +75,7 @@
                 with trio.fail_after(POLL_TIMEOUT_S):
                     if not await self._poll(endpoint_id, connection):
                         return
-        except Exception as error:  # noqa: BLE001, RUF100 - a poll that fails ends this task, never the program
+        except Exception as error:  # noqa: BLE001 - a poll that fails ends this task, never the program
             log.info("load_report_failed endpoint=%s error=%r", endpoint_id, error)
         finally:
             # Before the close, which lets other tasks run: an order that comes meanwhile must start a new
