--- a/tests/state/test_load_estimator.py
+++ b/tests/state/test_load_estimator.py
@@ -1,4 +1,4 @@
-"""Loads are multiples of the mean of those told: by client, else by class, else one."""
+"""Loads are multiples of the mean of those reported: by client, else by class, else one."""
 
 from __future__ import annotations
 
@@ -20,21 +20,21 @@
     assert estimator().load_of(request()) == 1.0
 
 
-def test_a_hint_counts_only_once_a_load_was_told() -> None:
+def test_a_hint_counts_only_once_a_load_was_reported() -> None:
     loads = estimator()
     assert loads.load_of(request(load=80.0)) == 1.0
     loads.record(request(), 40.0)
     assert loads.load_of(request(load=80.0)) == 2.0
 
 
-def test_loads_are_relative_to_the_mean_of_those_told() -> None:
+def test_loads_are_relative_to_the_mean_of_those_reported() -> None:
     loads = estimator()
     assert loads.record(request("first"), 10.0) == 1.0
     assert loads.record(request("second"), 30.0) == pytest.approx(1.5)
     assert loads.load_of(request("second")) == pytest.approx(1.5)
 
 
-def test_the_mean_of_a_class_moves_towards_what_is_told() -> None:
+def test_the_mean_of_a_class_moves_towards_what_is_reported() -> None:
     loads = estimator()
     loads.record(request(request_class=0), 10.0)
     loads.record(request(request_class=1), 30.0)
@@ -44,8 +44,8 @@
 
 def test_the_oldest_clients_are_forgotten() -> None:
     loads = estimator(max_clients=2)
-    for client, told in (("a", 10.0), ("b", 50.0), ("c", 90.0)):
-        loads.record(request(client), told)
+    for client, reported in (("a", 10.0), ("b", 50.0), ("c", 90.0)):
+        loads.record(request(client), reported)
     assert loads.load_of(request("a")) == loads.load_of(request("unknown"))
     assert loads.load_of(request("b")) != loads.load_of(request("unknown"))
 
--- a/walkloom/messages/__init__.py
+++ b/walkloom/messages/__init__.py
@@ -1,4 +1,4 @@
-"""What the policy is told and what it asks for, as plain values without behaviour.
+"""What the policy takes in and what it asks for, as plain values without behaviour.
 
 `settings` are handed over once, at the start. `events` tell what happened since. `actions` are what the
 policy wants done in answer. `identifiers` name endpoints, requests and clients.
--- a/walkloom/messages/events.py
+++ b/walkloom/messages/events.py
@@ -1,4 +1,4 @@
-"""Events: what the policy is told, one at a time, each with the time at which it is handled."""
+"""Events: what the policy takes in, one at a time, each with the time at which it is handled."""
 
 from __future__ import annotations
 
@@ -102,7 +102,7 @@
     # Index in Settings.tenant_quotas.
     tenant: int = 0
 
-    # The client; None: not told.
+    # The client; None: not known.
     client_key: ClientKey = None
 
     # The group whose connections share work; None: none.
--- a/walkloom/messages/settings.py
+++ b/walkloom/messages/settings.py
@@ -1,4 +1,4 @@
-"""Settings: all that a balancer is told at its start."""
+"""Settings: all that a balancer is configured with at its start."""
 
 from __future__ import annotations
 
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that a balancer is told at its start.
+    """All that a balancer is configured with at its start.
 
     Raises ValueError, which names the fields that are out of range.
     """
@@ -68,7 +68,7 @@
     # The classes that requests name by their index.
     request_classes: tuple[RequestClass, ...]
 
-    # An endpoint gets nothing new from so long after it was told to be draining or removed.
+    # An endpoint gets nothing new from so long after it was notified as draining or removed.
     drain_grace_ms: float
 
     # Balancers that share the endpoints, this one among them.
@@ -86,7 +86,7 @@
     # True: the endpoint list comes only when it is asked for. False: it is pushed.
     polls_endpoint_list: bool = False
 
-    # A balancer that polls and has not asked for so long counts as told of all that the list says.
+    # A balancer that polls and has not asked for so long counts as notified of all that the list says.
     max_poll_interval_ms: float = 0.0
 
     # A final answer so long after the deadline still counts.
@@ -123,10 +123,10 @@
     # Index in a load report of the connections that the endpoint holds; -1: none.
     load_report_connections_index: int = -1
 
-    # Open connections within all tenants' quotas together; 0: not told.
+    # Open connections within all tenants' quotas together; 0: not known.
     connection_quota: float = 0.0
 
-    # True: the weights in the list fall with the load that an endpoint holds, and its size is not told.
+    # True: the weights in the list fall with the load that an endpoint holds, and its size is not known.
     weights_follow_load: bool = False
 
     # What migrating a connection costs, as a share of a request's worth.
@@ -135,7 +135,7 @@
     # The least time between two rounds of events.
     tick_ms: float = 1.0
 
-    # The longest delay before a retry that clients observe; 0: clients are told none.
+    # The longest delay before a retry that clients observe; 0: clients get none.
     max_retry_after_ms: float = 0.0
 
     def __post_init__(self) -> None:
--- a/walkloom/policy/dispatch.py
+++ b/walkloom/policy/dispatch.py
@@ -10,7 +10,7 @@
 
 HOLD_INTERVAL_MS = 100.0  # between two tries of the requests that wait for capacity
 HOLD_TRIES = 8  # of them are tried in one interval, which bounds the work of a burst
-RETRY_AFTER_MS = 1000.0  # told to rejected clients in the mean, by chance, so that a burst does not return
+RETRY_AFTER_MS = 1000.0  # asked of rejected clients in the mean, by chance, so that a burst does not return
 FULL_TIMEOUT_SHARE = 0.7  # an attempt whose timeout would take more of the time left gets all of it
 
 
--- a/walkloom/policy/load_reports.py
+++ b/walkloom/policy/load_reports.py
@@ -5,10 +5,10 @@
 
 REPORT_MAX_AGE_MS = 3000.0  # an older load report is not believed
 REPORT_LAG_MS = 400.0  # a load report may lag so far behind what was placed
-CLASS_LOAD_SMOOTHING = 0.05  # weight of a told load in the mean of its class
-MEAN_LOAD_WINDOW = 100  # told loads over which their mean is taken
+CLASS_LOAD_SMOOTHING = 0.05  # weight of a reported load in the mean of its class
+MEAN_LOAD_WINDOW = 100  # reported loads over which their mean is taken
 MAX_KNOWN_CLIENTS = 20_000  # whose loads are remembered, which bounds the memory
-FRESH_REPORT_MS = 300.0  # an endpoint that was polled so lately is not polled again
+FRESH_REPORT_MS = 300.0  # an endpoint that was polled so recently is not polled again
 POLL_WAIT_MS = 60.0  # a request waits so long for load reports
 NEW_GROUP_LOAD = 3.0  # what a group costs an endpoint that does not hold it yet, in mean loads
 COST_SMOOTHING = 0.1  # weight of the newest report in what a connection adds
@@ -30,7 +30,7 @@
 
 
 def responsive(state: BalancerState, endpoints: Endpoints) -> Endpoints:
-    """Those that answered a poll lately, as the silent may be gone; all of them where none did."""
+    """Those that answered a poll recently, as the silent may be gone; all of them where none did."""
     max_age_ms = FRESH_REPORT_MS + POLL_WAIT_MS
     return [item for item in endpoints if state.now - item.reported_at <= max_age_ms] or endpoints
 
--- a/walkloom/state/balancer_state.py
+++ b/walkloom/state/balancer_state.py
@@ -95,7 +95,7 @@
     def sample_local(self, size: int, slow_ms: float, settling_ms: float) -> LocalSample:
         """Look at some local endpoints, and note what the warm ones among them carry.
 
-        slow_ms: so long a slow message counts. settling_ms: one overloaded so lately does not show what it
+        slow_ms: so long a slow message counts. settling_ms: one overloaded so recently does not show what it
         carries.
         """
         endpoints = self.endpoints.last_tier.local.endpoints
@@ -145,9 +145,9 @@
         self.load -= request.load
         endpoint.remove_connection(request.load, request.affinity_group)
 
-    def record_load(self, request: RequestState, endpoint: EndpointState, told: float) -> None:
-        """Take in the load that was told of a connection, ms of work a second."""
-        load = self.loads.record(request.request, told)
+    def record_load(self, request: RequestState, endpoint: EndpointState, reported: float) -> None:
+        """Take in the load that was reported of a connection, ms of work a second."""
+        load = self.loads.record(request.request, reported)
         endpoint.load = endpoint.load + load - request.load
         self.load = self.load + load - request.load
         request.load = load
--- a/walkloom/state/endpoint.py
+++ b/walkloom/state/endpoint.py
@@ -45,7 +45,7 @@
     connections: int = 0
     load: float = 0.0
     connections_by_group: dict[AffinityGroup, int] = field(default_factory=dict)
-    # What was placed here lately, oldest first; kept where load reports are in use.
+    # What was placed here recently, oldest first; kept where load reports are in use.
     recent_placements: list[Placement] = field(default_factory=list)
 
     # The newest message that took longer than its latency objective.
@@ -61,7 +61,7 @@
     cold_budget_drawn_at: float = LONG_AGO
     cold_budget: int = 0
 
-    # Load reports: load over capacity as told, when it was told and asked for, and what a connection adds.
+    # Load reports: load over capacity, when it was reported and polled, and what a connection adds.
     reported_load: float = 0.0
     reported_at: float = 0.0
     polled_at: float = 0.0
--- a/walkloom/state/timers.py
+++ b/walkloom/state/timers.py
@@ -1,4 +1,4 @@
-"""The timers that the policy starts, told apart by their tokens."""
+"""The timers that the policy starts, distinguished by their tokens."""
 
 from enum import IntEnum
 
