--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -110,7 +110,7 @@
                     for _ in range(3):
                         process.send_signal(signal.SIGHUP)
                     line = next(line for line in process.stderr if event in line)
-                    assert ("restart-for=name" in line) == (text is good)
+                    assert ("restart_for=name" in line) == (text is good)
                 # A call in flight gives way to the next.
                 for _ in range(2):
                     call, _ = moved.accept()
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -89,7 +89,7 @@
         log.error("reload_failed error=%r", str(error))
         return
     restart_for = ",".join(conf.fixed_changes(new)) or "-"
-    log.info("configuration_reloaded discovery=%s:%d restart-for=%s", *new.discovery, restart_for)
+    log.info("configuration_reloaded discovery=%s:%d restart_for=%s", *new.discovery, restart_for)
     watcher.change_discovery(new.discovery)
 
 
--- a/walkloom/engine/engine.py
+++ b/walkloom/engine/engine.py
@@ -254,7 +254,7 @@
             case PollLoadReport():
                 self._load_report_requests.send_nowait(action.endpoint_id)
             case LogMessage():
-                log.info("%s server=%s", action.text, action.endpoint_id)
+                log.info("%s endpoint=%s", action.text, action.endpoint_id)
             case _:
                 log.error("action_unknown action=%r", action)
 
