--- a/tests/characterisation/lab_simulator_adapter.py
+++ b/tests/characterisation/lab_simulator_adapter.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from walkloom.lab import rollout, sim
+from walkloom.lab import rollout
+from walkloom.lab.simulator import simulator as sim
 
 SIZES = {
     "servers": "servers",
--- a/tests/lab/test_sim.py
+++ b/tests/lab/test_simulator.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from walkloom.lab.sim import Experiment, Sim, run, run_all
+from walkloom.lab.simulator.simulator import Experiment, Sim, run, run_all
 from walkloom.messages import Action, Reject, StartAttempt
 
 SMALL = Experiment(servers=10, balancers=3, seconds=20.0)
--- a/walkloom/cli/lab.py
+++ b/walkloom/cli/lab.py
@@ -13,7 +13,7 @@
 from walkloom.cli import Failure
 
 if TYPE_CHECKING:
-    from walkloom.lab.sim import Result
+    from walkloom.lab.simulator.simulator import Result
 
 
 @click.group("lab")
@@ -97,7 +97,7 @@
     """
     from statistics import median
 
-    from walkloom.lab.sim import Experiment, run_all
+    from walkloom.lab.simulator.simulator import Experiment, run_all
 
     sizes = [(s, b) for s in servers for b in balancers]
     asked = [Experiment(s, b, seconds, rate, seed=n + 1) for s, b in sizes for n in range(seeds)]
--- a/walkloom/lab/rollout.py
+++ b/walkloom/lab/rollout.py
@@ -1,6 +1,6 @@
 """A release before the true modules: servers replaced in steps while the balancers restart by tenths.
 
-Built on `walkloom.lab.sim`, with what such a day needs beside it: zones, groups whose every holder pays, load
+Built on `walkloom.lab.simulator`, with what such a day needs beside it: zones, groups whose every holder pays, load
 reports that come late, cold servers and the count that makes one fall (rule 4), servers that hang. What it is
 for: the pairs of server and group, which a fleet pays for and no single balancer sees.
 """
@@ -14,7 +14,7 @@
 import numpy as np
 
 from walkloom.lab.settings import CLASSES
-from walkloom.lab.sim import LOOK_MS, Client, Experiment, Result, Server, Sim
+from walkloom.lab.simulator.simulator import LOOK_MS, Client, Experiment, Result, Server, Sim
 from walkloom.messages import AttemptStatus, EndpointListUpdate, Lifecycle, UpdateKind
 
 NEW_MS = 2500.0  # from the drain of a server to the start of the one that replaces it
--- /dev/null
+++ b/walkloom/lab/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""A simulation of a fleet in virtual time."""
