--- a/walkloom/lab/__init__.py
+++ b/walkloom/lab/__init__.py
@@ -11,9 +11,9 @@
 docs/lab.md has the design.
 """
 
-from walkloom.lab.discovery import Discovery
 from walkloom.lab.fleet import Fleet
-from walkloom.lab.ledger import Ledger
-from walkloom.lab.tile import TileServer, Trouble
+from walkloom.lab.invariant_checker import Ledger
+from walkloom.lab.stub_discovery import Discovery
+from walkloom.lab.stub_server import TileServer, Trouble
 
 __all__ = ["Discovery", "Fleet", "Ledger", "TileServer", "Trouble"]
--- a/walkloom/lab/fleet.py
+++ b/walkloom/lab/fleet.py
@@ -22,10 +22,10 @@
 import trio
 
 from walkloom import config
-from walkloom.lab.discovery import Discovery, Entry
-from walkloom.lab.ledger import Ledger
+from walkloom.lab.invariant_checker import Ledger
 from walkloom.lab.settings import configuration, settings
-from walkloom.lab.tile import TileServer
+from walkloom.lab.stub_discovery import Discovery, Entry
+from walkloom.lab.stub_server import TileServer
 from walkloom.server import BalancerServer
 
 START_S = 20.0  # a process that answers no PING by then has not started
--- a/walkloom/lab/discovery.py
+++ b/walkloom/lab/stub_discovery.py
@@ -11,7 +11,7 @@
 import orjson
 import trio
 
-from walkloom.lab.ledger import Ledger
+from walkloom.lab.invariant_checker import Ledger
 
 PATH = "/registry/instances"
 WAIT_MOST_MS = 60_000.0
--- a/walkloom/lab/tile.py
+++ b/walkloom/lab/stub_server.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from walkloom.lab.ledger import Attempt, Ledger
+from walkloom.lab.invariant_checker import Attempt, Ledger
 from walkloom.transport.line_stream import LineError, LineStream
 
 _OPEN = re.compile(rb"OPEN ([0-9a-f]+) [0-9a-f]+ ([!-~]+)\r\n")
