--- a/benchmarks/client/fleet_scenarios.py
+++ b/benchmarks/client/fleet_scenarios.py
@@ -90,15 +90,21 @@
     record = Record()
     async with trio.open_nursery() as nursery, AsyncExitStack() as stack:
         fleet = await Fleet(nursery).start(
-            FIRST_SERVERS, slots=SERVER_SLOTS, setup_ms=SERVER_SETUP_MS, queue_ms=SERVER_QUEUE_MS
+            FIRST_SERVERS,
+            max_connections=SERVER_SLOTS,
+            setup_ms=SERVER_SETUP_MS,
+            max_queue_ms=SERVER_QUEUE_MS,
         )
         for number in range(BALANCERS):
-            await fleet.process(f"n{number}", balancers=BALANCERS)
+            await fleet.start_balancer_process(f"n{number}", balancer_count=BALANCERS)
         viewers = await _start_viewers(behaviour, fleet, record, nursery, stack)
         await _fill(viewers)
         for number in range(FIRST_SERVERS, ALL_SERVERS):
-            await fleet.add(
-                f"s-{number}", slots=SERVER_SLOTS, setup_ms=SERVER_SETUP_MS, queue_ms=SERVER_QUEUE_MS
+            await fleet.add_server(
+                f"s-{number}",
+                max_connections=SERVER_SLOTS,
+                setup_ms=SERVER_SETUP_MS,
+                max_queue_ms=SERVER_QUEUE_MS,
             )
         await trio.sleep(SETTLE_S)
         setups_before = _setups(fleet)
@@ -107,13 +113,13 @@
         await _watch(viewers, record, event_at, WATCH_S if scenario == "outage" else WATCH_S / 2)
         record.successes = _setups(fleet) - setups_before
         record.attempts = [at - event_at for at in record.attempts if at >= event_at]
-        record.violations = fleet.ledger.faults
+        record.violations = fleet.invariants.violations
         nursery.cancel_scope.cancel()
     return record
 
 
 def _setups(fleet: Fleet) -> int:
-    return sum(server.setups for server in fleet.tiles.values())
+    return sum(server.setup_count for server in fleet.servers.values())
 
 
 async def _start_viewers(
@@ -148,26 +154,26 @@
 
 async def _start_event(scenario: str, fleet: Fleet, record: Record, nursery: trio.Nursery) -> None:
     if scenario == "drain":
-        fullest = max(fleet.tiles.values(), key=lambda server: len(server.standing))
-        record.disconnected = len(fullest.standing)
+        fullest = max(fleet.servers.values(), key=lambda server: len(server.connections))
+        record.disconnected = len(fullest.connections)
         await fleet.drain(fullest.name)
         return
     record.disconnected = VIEWERS
-    for name in list(fleet.tiles):
+    for name in list(fleet.servers):
         await fleet.crash(name)
     nursery.start_soon(_end_outage, fleet)
 
 
 async def _end_outage(fleet: Fleet) -> None:
     await trio.sleep(OUTAGE_S)
-    for name in list(fleet.tiles):
+    for name in list(fleet.servers):
         await fleet.restart(name)
 
 
 async def _watch(viewers: Sequence[Viewer], record: Record, event_at: float, watch_s: float) -> None:
     while (at_s := trio.current_time() - event_at) < watch_s:
         established = [viewer for viewer in viewers if viewer.established]
-        weight = sum(viewer.request_class.worth for viewer in established)
+        weight = sum(viewer.request_class.priority_weight for viewer in established)
         record.samples.append(Sample(at_s, len(established), weight))
         await trio.sleep(SAMPLE_S)
 
@@ -188,7 +194,7 @@
 def _row(behaviour: str, record: Record, window_s: float) -> str:
     bins = record.attempt_bins(window_s)
     peak = max(bins)
-    total_weight = sum(class_of(number).worth for number in range(VIEWERS))
+    total_weight = sum(class_of(number).priority_weight for number in range(VIEWERS))
     weights = [sample.weight for sample in record.samples if sample.at_s <= window_s]
     cells = (
         behaviour,
--- a/benchmarks/client/viewers.py
+++ b/benchmarks/client/viewers.py
@@ -15,7 +15,9 @@
 from walkloom.lab.settings import CLASSES, LabClass
 from walkloom.transport.line_stream import LineStream
 
-POLICIES = tuple(ClassPolicy(c.name, c.aim_ms, c.give_up_ms, worth=c.worth) for c in CLASSES)
+POLICIES = tuple(
+    ClassPolicy(c.name, c.latency_objective_ms, c.deadline_ms, worth=c.priority_weight) for c in CLASSES
+)
 CLASS_PATTERN = (0, 0, 0, 0, 0, 1, 1, 1, 2, 3)  # of each ten viewers: half of the first class, and so on
 START_INTERVAL_S = 0.01  # between one viewer's first request and the next one's
 INITIAL_BACKOFF_S = 0.1
@@ -80,7 +82,7 @@
 
     def _opening_line(self, is_reconnect: bool, is_retry: bool) -> bytes:
         marks = (",again=1" if is_reconnect else "") + (",r=1" if is_retry else "")
-        timeout_ms = self.request_class.give_up_ms
+        timeout_ms = self.request_class.deadline_ms
         group = self.number % AFFINITY_GROUPS + 1
         fields = f"c={self.request_class.name},t=herb-serra,d={timeout_ms:.0f},g={group:x}{marks}"
         request_id = self._random.getrandbits(64)
@@ -93,7 +95,7 @@
         lines = None
         self._on_attempt()
         try:
-            with trio.move_on_after(self.request_class.give_up_ms / 1000.0):
+            with trio.move_on_after(self.request_class.deadline_ms / 1000.0):
                 lines = LineStream(await trio.open_tcp_stream(host, int(port)))
                 await lines.send(opening_line)
                 self._established = (await lines.read_line()).startswith(b"UP")
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -24,7 +24,8 @@
 import trio
 
 from walkloom.lab import Fleet
-from walkloom.lab.fleet import Process
+from walkloom.lab.balancers import BalancerProcess
+from walkloom.lab.fleet import RegistrySource
 from walkloom.transport.line_stream import LineStream
 
 SERVERS, CLIENTS = 4, 16  # clients that work at a time
@@ -38,8 +39,8 @@
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            fleet = await Fleet(nursery).start(SERVERS, slots=100_000, setup_ms=0.0)
-            port.send((fleet.discovery.address, [tile.address for tile in fleet.tiles.values()]))
+            fleet = await Fleet(nursery).start(SERVERS, max_connections=100_000, setup_ms=0.0)
+            port.send((fleet.discovery.address, [tile.address for tile in fleet.servers.values()]))
 
     _raise_descriptors()
     logging.getLogger("walkloom").setLevel(logging.ERROR)
@@ -58,7 +59,7 @@
 
     name: str
     addresses: list[str]
-    balancer: Process | None
+    balancer: BalancerProcess | None
     number: int = 0
 
     async def dial(self) -> LineStream | None:
@@ -166,7 +167,9 @@
             }
             for n, a in enumerate(addresses)
         ]
-        balancer = await fleet.process("n0", discovery=discovery, known=known, sockets=3 * most, probes=False)
+        balancer = await fleet.start_balancer_process(
+            "n0", sockets=3 * most, registry=RegistrySource(discovery, known), load_reports_available=False
+        )
         ways = [Way("direct", addresses, None), Way("balancer", [balancer.address], balancer)]
         pairs: dict[str, list[tuple[float, float]]] = {}
         for _ in range(rounds):  # in turn, so that both see the machine as it is
--- a/tests/client/test_real_balancers.py
+++ b/tests/client/test_real_balancers.py
@@ -12,7 +12,7 @@
 
 from walkloom.client import ClassPolicy, ClientError, Failed, Interrupted, Limits, Rejected, TimedOut
 from walkloom.client.on_trio import Client
-from walkloom.lab import Fleet, Trouble
+from walkloom.lab import Fault, Fleet
 
 CLASSES = (ClassPolicy("tile-view", 300, 1200), ClassPolicy("label-edit", 300, 1200, worth=2.0))
 Body = Callable[[Fleet, Client], Awaitable[None]]
@@ -30,11 +30,11 @@
         async with trio.open_nursery() as nursery:
             fleet = await Fleet(nursery).start(servers, **(tile or {}))
             for number in range(balancers):
-                await fleet.balancer(f"n{number}", balancers=balancers)
+                await fleet.start_balancer(f"n{number}", balancer_count=balancers)
             addresses = [b.address for b in fleet.balancers.values()]
             async with Client(addresses, CLASSES, Limits(**limits), seed=1) as client:  # type: ignore[arg-type]
                 await body(fleet, client)
-            assert fleet.ledger.faults == []
+            assert fleet.invariants.violations == []
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=MockClock(autojump_threshold=0.002))
@@ -55,20 +55,20 @@
         for number in range(HUNDREDS):
             cls = "label-edit" if number % 5 == 0 else "tile-view"
             sessions.append(await client.open(cls, tenant="herb-serra", group=number % 7 + 1, key=number))
-        fullest = max(fleet.tiles.values(), key=lambda s: len(s.standing))
-        migrating = len(fullest.standing)
+        fullest = max(fleet.servers.values(), key=lambda s: len(s.connections))
+        migrating = len(fullest.connections)
         attempts_before = client.figures().counters.attempts
         await fleet.drain(fullest.name)
         await wait_for_established(client, HUNDREDS, 20)
         await trio.sleep(1)
         n = client.figures().counters
         assert migrating > 30 and n.migrated >= migrating and n.reconnected == n.migrated and n.lost == 0
-        assert n.attempts - attempts_before <= 1.2 * n.migrated and not fullest.standing
+        assert n.attempts - attempts_before <= 1.2 * n.migrated and not fullest.connections
         for session in sessions:
             await session.send("still there")
             assert await session.receive() == "still there"
 
-    play(body, tile={"slots": 200})
+    play(body, tile={"max_connections": 200})
 
 
 def test_established_sessions_survive_a_balancer_restart() -> None:
@@ -81,7 +81,7 @@
         n = client.figures().counters
         assert n.migrated >= 10 and n.broken == 0 and n.lost == 0
         listen = first.address
-        await fleet.balancer("n0", listen)
+        await fleet.start_balancer("n0", listen)
         for number in range(40):
             await client.open("tile-view", group=number)
         assert client.figures().established == 80
@@ -111,8 +111,8 @@
     play(body)
 
 
-@pytest.mark.parametrize("trouble", [Trouble.FAILING, Trouble.RESETTING, Trouble.FULL])
-def test_a_faulty_fleet_is_not_overloaded_by_retries_and_recovers(trouble: Trouble) -> None:
+@pytest.mark.parametrize("fault", [Fault.FAILING, Fault.RESETTING, Fault.AT_CAPACITY])
+def test_a_faulty_fleet_is_not_overloaded_by_retries_and_recovers(fault: Fault) -> None:
     async def body(fleet: Fleet, client: Client) -> None:
         async def viewer(number: int) -> None:
             await trio.sleep(number * 0.05)
@@ -126,11 +126,11 @@
             for number in range(60):
                 nursery.start_soon(viewer, number)
             await trio.sleep(1)
-            for tile in fleet.tiles.values():
-                tile.trouble = trouble
+            for tile in fleet.servers.values():
+                tile.fault = fault
             await trio.sleep(5)
-            for tile in fleet.tiles.values():
-                tile.trouble = Trouble.NONE
+            for tile in fleet.servers.values():
+                tile.fault = Fault.NONE
         n = client.figures().counters
         assert n.established == 60 and n.requests > 100
         assert n.attempts <= 1.6 * n.established, "retries overloaded the fleet"
@@ -140,10 +140,10 @@
 
 def test_no_attempt_outlives_its_deadline_whatever_the_servers_do() -> None:
     async def body(fleet: Fleet, client: Client) -> None:
-        for tile, trouble in zip(
-            fleet.tiles.values(), (Trouble.SILENT, Trouble.TRICKLING, Trouble.NONE), strict=True
+        for tile, fault in zip(
+            fleet.servers.values(), (Fault.SILENT, Fault.TRICKLING, Fault.NONE), strict=True
         ):
-            tile.trouble, tile.share = trouble, 0.7
+            tile.fault, tile.fault_share = fault, 0.7
 
         async def viewer(number: int) -> None:
             start = trio.current_time()
@@ -157,6 +157,6 @@
         n = client.figures().counters
         assert n.requests == 60 == n.established + n.rejected + n.timed_out + n.failed and n.established >= 10
         await trio.sleep(2)
-        assert all(len(tile.standing) <= n.established for tile in fleet.tiles.values())
+        assert all(len(tile.connections) <= n.established for tile in fleet.servers.values())
 
     play(body)
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -1,5 +1,4 @@
-"""The load tool: arrivals that wait for nobody, delays that hide nothing, and a word about the tool
-itself."""
+"""The load tool: open-loop arrivals, delays without coordinated omission, and checks of the tool itself."""
 
 from __future__ import annotations
 
@@ -12,7 +11,7 @@
 from trio.testing import MockClock
 
 from walkloom.client.metrics import Histogram
-from walkloom.lab import Fleet, Trouble
+from walkloom.lab import Fault, Fleet
 from walkloom.lab.load import Load, Phase, Report, arrivals, play
 
 
@@ -27,7 +26,7 @@
 
 
 def load(fleet: Fleet, *phases: str, **changes: object) -> Load:
-    addresses = tuple(tile.address for tile in fleet.tiles.values())
+    addresses = tuple(tile.address for tile in fleet.servers.values())
     return Load(addresses, tuple(map(Phase.parse, phases)), **changes)  # type: ignore[arg-type]
 
 
@@ -55,27 +54,27 @@
 
 def test_a_stall_is_charged_for_all_that_came_meanwhile() -> None:
     async def body(fleet: Fleet) -> Report:
-        tile = fleet.tiles["s-0"]
+        tile = fleet.servers["s-0"]
         async with trio.open_nursery() as nursery:
 
             async def stall() -> None:
                 await trio.sleep(4)
-                tile._busy_until = trio.current_time() * 1000.0 + 1000.0
+                tile.capacity.stall_until(trio.current_time() * 1000.0 + 1000.0)
 
             nursery.start_soon(stall)
             return await play(load(fleet, "50:8", life_s=0.2, line_s=0.0))
 
-    report = against(body, setup_ms=1.0, queue_ms=5000.0)
+    report = against(body, setup_ms=1.0, max_queue_ms=5000.0)
     # one eighth of all arrivals waited half a second in the mean; a closed loop would have seen one of them
     assert report.setup.at(50) < 5 and report.setup.at(95) >= 300 and report.setup.at(99) >= 700
 
 
 @pytest.mark.parametrize(
-    "trouble, name", [(Trouble.FULL, "refused"), (Trouble.FAILING, "failed"), (Trouble.SILENT, "timed_out")]
+    "fault, name", [(Fault.AT_CAPACITY, "refused"), (Fault.FAILING, "failed"), (Fault.SILENT, "timed_out")]
 )
-def test_each_kind_of_answer_has_its_count(trouble: Trouble, name: str) -> None:
+def test_each_kind_of_answer_has_its_count(fault: Fault, name: str) -> None:
     async def body(fleet: Fleet) -> Report:
-        fleet.tiles["s-0"].trouble = trouble
+        fleet.servers["s-0"].fault = fault
         return await play(load(fleet, "10:3"))
 
     report = against(body)
@@ -84,14 +83,14 @@
 
 def test_moved_broken_and_unconnected_connections_are_told_apart() -> None:
     async def body(fleet: Fleet) -> Report:
-        async def trouble() -> None:
+        async def fault() -> None:
             await trio.sleep(2)
             await fleet.drain("s-0")
             await trio.sleep(1)
             await fleet.crash("s-1")
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(trouble)
+            nursery.start_soon(fault)
             return await play(load(fleet, "20:5", life_s=100.0))
 
     report = against(body, servers=2)
--- a/tests/lab/test_rollout.py
+++ b/tests/lab/test_rollout.py
@@ -15,8 +15,11 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_groups_keep_to_few_servers_through_a_release(seed: int) -> None:
-    """Each balancer passed over homes that were cold or near full for it, and a group came to ever more
-    servers, each of which pays for it."""
+    """A regression test.
+
+    Each balancer passed over a group's server where that was cold or near its limit, so that the group spread
+    to ever more servers, each of which needs capacity for it.
+    """
     result = run(replace(ROLL, seed=seed))
     assert result.violations == []
     assert max(result.server_group_pairs) <= 200
--- a/walkloom/lab/__init__.py
+++ b/walkloom/lab/__init__.py
@@ -1,19 +1,26 @@
-"""walkloom's laboratory: the outside world as stand-ins, on loopback, with failures on request.
+"""walkloom's laboratory: stubs of the outside world on loopback, with faults on request, and simulations.
 
-    fleet        a discovery, tile servers and real balancers round them, in one process or as processes
-    tile         a tile server that follows the platform's protocol, and its troubles
-    discovery    the registry that balancers watch, with delay and outages
-    ledger       what really crossed the sockets, and the rules checked on it
-    settings     the platform's configuration of a balancer, made for a fleet
+    fleet                stub discovery, stub servers and real balancers round them
+    balancers            handles on those balancers, in this process or as processes
+    stub_server          a tile server that follows the platform's protocol, and its faults
+    server_capacity      what a stub server can do
+    stub_discovery       the registry that balancers watch, with delay and outages
+    registry             the endpoint list behind it
+    invariant_checker    the balancers' rules, checked on what really crossed the sockets
+    settings             the platform's configuration of a balancer, made for a fleet
+    load                 open-loop load against any balancer
+    demo                 a fleet for a screen
+    simulator, rollout   fleets of any size in virtual time
 
-It is a part of the product: tests, benchmarks and demonstrations stand on it. Nothing of it loads in a
-balancer.
+It is a part of the product: tests, benchmarks and demonstrations use it. A balancer loads nothing of it.
 docs/lab.md has the design.
 """
 
+from walkloom.lab.errors import LabError
+from walkloom.lab.fault import Fault
 from walkloom.lab.fleet import Fleet
-from walkloom.lab.invariant_checker import Ledger
-from walkloom.lab.stub_discovery import Discovery
-from walkloom.lab.stub_server import TileServer, Trouble
+from walkloom.lab.invariant_checker import InvariantChecker
+from walkloom.lab.stub_discovery import StubDiscovery
+from walkloom.lab.stub_server import StubServer
 
-__all__ = ["Discovery", "Fleet", "Ledger", "TileServer", "Trouble"]
+__all__ = ["Fault", "Fleet", "InvariantChecker", "LabError", "StubDiscovery", "StubServer"]
--- a/walkloom/lab/demo.py
+++ b/walkloom/lab/demo.py
@@ -14,12 +14,15 @@
 
 from walkloom.client import ClassPolicy, ClientError, Figures, Interrupted, Rejected
 from walkloom.client.on_trio import Client
-from walkloom.lab.fleet import Fleet, InProcess
+from walkloom.lab.balancers import InProcessBalancer
+from walkloom.lab.fleet import Fleet
 from walkloom.lab.settings import CLASSES, TENANTS
 
 SERVERS, BALANCERS, VIEWERS = 5, 2, 80
 LIFE_S, LINE_S, LOOK_S = 12.0, 1.0, 0.25
-POLICIES = tuple(ClassPolicy(c.name, c.aim_ms, c.give_up_ms, worth=c.worth) for c in CLASSES)
+POLICIES = tuple(
+    ClassPolicy(c.name, c.latency_objective_ms, c.deadline_ms, worth=c.priority_weight) for c in CLASSES
+)
 EVENTS_KEPT = 8
 
 
@@ -62,10 +65,12 @@
         logging.getLogger("walkloom").setLevel(logging.CRITICAL)
         self._begin = trio.current_time()
         async with trio.open_nursery() as nursery:
-            fleet = await Fleet(nursery).start(SERVERS, slots=60, setup_ms=8.0, cold_from=0.4, cold_ms=4000.0)
-            self._states = dict.fromkeys(fleet.tiles, "up")
+            fleet = await Fleet(nursery).start(
+                SERVERS, max_connections=60, setup_ms=8.0, slow_start_min_capacity=0.4, slow_start_ms=4000.0
+            )
+            self._states = dict.fromkeys(fleet.servers, "up")
             for number in range(BALANCERS):
-                await fleet.balancer(f"n{number}", balancers=BALANCERS)
+                await fleet.start_balancer(f"n{number}", balancer_count=BALANCERS)
             addresses = [balancer.address for balancer in fleet.balancers.values()]
             self._note(f"{SERVERS} servers, {BALANCERS} balancers, {VIEWERS} viewers")
             async with Client(addresses, POLICIES, seed=self.seed) as client:
@@ -105,7 +110,7 @@
         """A drain, a crash, and the crashed one's return: at a quarter, a half and three quarters of the
         time."""
         at = self._begin
-        names = list(fleet.tiles)
+        names = list(fleet.servers)
         await trio.sleep_until(at + self.seconds / 4)
         self._tell(names[1], "draining", f"{names[1]} drains: its clients are sent away over a second")
         await fleet.drain(names[1], over_ms=1000.0)
@@ -125,16 +130,16 @@
 
     def _look(self, fleet: Fleet, client: Client) -> View:
         rows = []
-        for name, tile in fleet.tiles.items():
+        for name, tile in fleet.servers.items():
             state = self._states[name]
-            if state == "cold" and tile.capacity() >= 1.0:
+            if state == "cold" and tile.capacity_share >= 1.0:
                 state = "up"
             load = 0.0 if state == "crashed" else tile.load
-            rows.append(Row(name, state, len(tile.standing), load, tile.setups))
+            rows.append(Row(name, state, len(tile.connections), load, tile.setup_count))
         balancers = tuple(
             (name, balancer.server.engine.open_requests)
             for name, balancer in fleet.balancers.items()
-            if isinstance(balancer, InProcess)
+            if isinstance(balancer, InProcessBalancer)
         )
         at = trio.current_time() - self._begin
         return View(
@@ -144,7 +149,7 @@
             balancers,
             tuple(self.events),
             client.figures(),
-            tuple(fleet.ledger.faults),
+            tuple(fleet.invariants.violations),
         )
 
 
--- a/walkloom/lab/invariant_checker.py
+++ b/walkloom/lab/invariant_checker.py
@@ -1,69 +1,99 @@
-"""What really crossed the sockets of a laboratory, and the balancers' rules checked on it. No I/O.
+"""The balancers' invariants, checked on what really crossed the sockets of a laboratory. No I/O.
 
-Tile servers tell it of every attempt, discovery of every word that a server drains or is gone. The rules are
-those of the platform's pages, with the 50 ms that real sockets add to each time.
+Stub servers report every attempt, stub discovery every notice that a server drains or is gone. The rules are
+those of the platform, with the slack that real sockets need. All times are ms of the laboratory's clock.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-ATTEMPTS = 3
-DRAIN_MS = 500.0
-SLACK_MS = 50.0
-TOLD_MS = 6000.0  # a change counts as told to everybody so long after it was told to anybody
-FAULTS_MOST = 100  # kept in full; more are counted
+MAX_ATTEMPTS = 3  # the platform's value, for each request
+DRAIN_GRACE_MS = 500.0  # the platform's value: attempts may reach a server so long after its drain
+SLACK_MS = 50.0  # for scheduling and sockets between a decision and the server
+MAX_NOTICE_MS = 6000.0  # all watchers know of a change so long after the first of them
+MAX_RECORDED_VIOLATIONS = 100  # more are only counted: one cause can break a rule in every request
 
 
 @dataclass(slots=True)
 class Attempt:
-    """One opening line at a tile server. Times: ms of the laboratory's clock."""
+    """One request line at a stub server."""
 
     server: str
-    began: float
-    ended: float | None = None
-    outcome: str = ""  # the line's first word, or "reset", "left"
+    started_ms: float
+    ended_ms: float | None = None
+    outcome: str = ""  # the first word of the answer, or "reset", "left"
+
+
+class UnreadyNotice(NamedTuple):
+    """When watchers of discovery were notified that a server is no longer ready."""
+
+    first_ms: float
+    last_ms: float
 
 
 @dataclass
-class Ledger:
-    attempts: dict[str, list[Attempt]] = field(default_factory=dict)  # by the connection's id
+class InvariantChecker:
+    """At most three attempts for a request, never two at once, none at a server that has long drained."""
+
+    attempts: dict[str, list[Attempt]] = field(default_factory=dict)  # by request id
     outcomes: Counter[str] = field(default_factory=Counter)
-    faults: list[str] = field(default_factory=list)
-    faults_in_all: int = 0
-    # servers that leave, and when the first and the last of the watchers were told
-    _leaving: dict[str, tuple[float, float]] = field(default_factory=dict)
-
-    def fault(self, text: str) -> None:
-        self.faults_in_all += 1
-        if len(self.faults) < FAULTS_MOST:
-            self.faults.append(text)
-
-    def told(self, server: str, leaving: bool, now: float) -> None:
-        """Discovery has told one more watcher that a server drains or is gone, or is back."""
-        if leaving:
-            first, _ = self._leaving.get(server, (now, now))
-            # who asks for the list again later is told again, but nobody for the first time
-            self._leaving[server] = first, min(now, first + TOLD_MS)
-        else:
-            self._leaving.pop(server, None)
-
-    def began(self, server: str, rid: str, now: float, standing: bool = False) -> Attempt:
-        """An opening line has come whole. standing: it was open before (`at=`), and is no attempt."""
-        attempt = Attempt(server, now)
-        before = self.attempts.setdefault(rid, [])
-        if any(other.ended is None for other in before):
-            self.fault(f"two attempts at once: id {rid} at {server} and {before[-1].server}")
-        before.append(attempt)
-        if len(before) > ATTEMPTS:
-            self.fault(f"attempt {len(before)} of id {rid}")
-        told = self._leaving.get(server)
-        if told is not None and not standing and now > told[1] + DRAIN_MS + SLACK_MS:
-            self.fault(f"sent to {server} {now - told[1]:.0f} ms after its drain was told: id {rid}")
+    # the first ones; `violation_count` has them all
+    violations: list[str] = field(default_factory=list)
+    violation_count: int = 0
+    _unready: dict[str, UnreadyNotice] = field(default_factory=dict)
+
+    def record_violation(self, description: str) -> None:
+        """Add a violation."""
+        self.violation_count += 1
+        if len(self.violations) < MAX_RECORDED_VIOLATIONS:
+            self.violations.append(description)
+
+    def watcher_notified(self, server: str, is_ready: bool, now_ms: float) -> None:
+        """Note that discovery has notified one more watcher of a server's state."""
+        if is_ready:
+            self._unready.pop(server, None)
+            return
+        notice = self._unready.get(server)
+        first_ms = notice.first_ms if notice else now_ms
+        # a watcher that polls the list again later is not notified for the first time
+        self._unready[server] = UnreadyNotice(first_ms, min(now_ms, first_ms + MAX_NOTICE_MS))
+
+    def attempt_started(
+        self, server: str, request_id: str, now_ms: float, is_adopted: bool = False
+    ) -> Attempt:
+        """Check a request line that a server has received.
+
+        `is_adopted`: the connection was established before (`at=` on the wire), so that a server that drains
+        may still receive it.
+        """
+        attempt = Attempt(server, now_ms)
+        earlier = self.attempts.setdefault(request_id, [])
+        if any(other.ended_ms is None for other in earlier):
+            self.record_violation(
+                f"two attempts at once: id {request_id} at {server} and {earlier[-1].server}"
+            )
+        earlier.append(attempt)
+        if len(earlier) > MAX_ATTEMPTS:
+            self.record_violation(f"attempt {len(earlier)} of id {request_id}")
+        if not is_adopted:
+            self._check_drain_grace(server, request_id, now_ms)
         return attempt
 
-    def ended(self, attempt: Attempt, outcome: str, now: float) -> None:
-        if attempt.ended is None:
-            attempt.ended, attempt.outcome = now, outcome
+    def _check_drain_grace(self, server: str, request_id: str, now_ms: float) -> None:
+        notice = self._unready.get(server)
+        if notice is None or now_ms <= notice.last_ms + DRAIN_GRACE_MS + SLACK_MS:
+            return
+        late_ms = now_ms - notice.last_ms
+        self.record_violation(
+            f"attempt at {server} {late_ms:.0f} ms after notice of its drain: id {request_id}"
+        )
+
+    def attempt_ended(self, attempt: Attempt, outcome: str, now_ms: float) -> None:
+        """Note the outcome of an attempt; only the first one counts."""
+        if attempt.ended_ms is None:
+            attempt.ended_ms = now_ms
+            attempt.outcome = outcome
             self.outcomes[outcome] += 1
--- a/walkloom/lab/load.py
+++ b/walkloom/lab/load.py
@@ -211,7 +211,7 @@
     lines: LineStream | None = None
     try:
         answer = b""
-        with trio.move_on_at(due + cls.give_up_ms / 1000.0) as scope:
+        with trio.move_on_at(due + cls.deadline_ms / 1000.0) as scope:
             host, _, port = rng.choice(load.addresses).rpartition(":")
             try:
                 lines = LineStream(await trio.open_tcp_stream(host, int(port)))
@@ -228,7 +228,7 @@
         elif answer.startswith(b"UP"):
             ms = (trio.current_time() - due) * 1000.0
             report.up += 1
-            report.in_aim += ms <= cls.aim_ms
+            report.in_aim += ms <= cls.latency_objective_ms
             report.setup.add(ms)
             assert lines
             await _stand(load, report, lines, trio.current_time() + rng.expovariate(1.0 / load.life_s), rng)
--- a/walkloom/lab/settings.py
+++ b/walkloom/lab/settings.py
@@ -2,65 +2,66 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 
 @dataclass(frozen=True, slots=True)
 class LabClass:
-    """A class as balancers and clients name it. Times in ms; message_ms: a line's answer is wanted within."""
+    """A request class as balancers and clients name it."""
 
     name: str
-    aim_ms: float
-    give_up_ms: float
-    worth: float = 1.0
-    message_ms: float = 60.0
-    share: float = 1.0  # of what is asked for
+    latency_objective_ms: float
+    # after which a client gives up
+    deadline_ms: float
+    priority_weight: float = 1.0
+    # for the answer to a line
+    message_latency_objective_ms: float = 60.0
+    # of all requests
+    share: float = 1.0
 
 
 CLASSES = (
-    LabClass("tile-view", 300.0, 1200.0, share=0.56),
-    LabClass("sheet-list", 500.0, 2000.0, share=0.19),
-    LabClass("label-edit", 300.0, 1200.0, 2.0, 100.0, 0.14),
-    LabClass("det-update", 500.0, 3000.0, 2.0, share=0.11),
+    LabClass("tile-view", latency_objective_ms=300.0, deadline_ms=1200.0, share=0.56),
+    LabClass("sheet-list", latency_objective_ms=500.0, deadline_ms=2000.0, share=0.19),
+    LabClass(
+        "label-edit",
+        latency_objective_ms=300.0,
+        deadline_ms=1200.0,
+        priority_weight=2.0,
+        message_latency_objective_ms=100.0,
+        share=0.14,
+    ),
+    LabClass("det-update", latency_objective_ms=500.0, deadline_ms=3000.0, priority_weight=2.0, share=0.11),
 )
 TENANTS = ("herb-ufsul", "herb-serra", "herb-pampa")
 
 
-def settings(
+def platform_settings(
     *,
     classes: Sequence[LabClass] = CLASSES,
     tenants: Sequence[str] = TENANTS,
-    balancers: int = 1,
+    balancer_count: int = 1,
     zones: Sequence[str] = ("here",),
-    zone: str = "here",
+    local_zone: str = "here",
     max_retry_after_ms: float = 1500.0,
-    probes: bool = True,
+    load_reports_available: bool = True,
 ) -> dict[str, Any]:
-    """The settings object, in the form and with the names of the platform's."""
+    """Return the settings object, in the form and with the names of the platform's."""
     return {
         "family": "conn",
         "tick": 2.0,
-        "instances": balancers,
+        "instances": balancer_count,
         "membership-mode": "ask",
         "azs": list(zones),
-        "my-zone": list(zones).index(zone),
+        "my-zone": list(zones).index(local_zone),
         "kinds": ["std-node"],
         "accounts": [{"name": name, "share": 1.0 / len(tenants)} for name in tenants],
-        "classes": [
-            {
-                "name": c.name,
-                "goal-time": c.aim_ms,
-                "hard-limit": c.give_up_ms,
-                "importance": c.worth,
-                "repeat": "idempotent",
-            }
-            for c in classes
-        ],
+        "classes": [_class_settings(each) for each in classes],
         "family-info": {
             "groups": True,
-            "message-aim": ",".join(f"{c.message_ms:.0f}" for c in classes),
+            "message-aim": ",".join(f"{each.message_latency_objective_ms:.0f}" for each in classes),
             "tells-delay": False,
         },
         "stats": {"fields": ["served_ps", "busy_reqs", "x0"]},
@@ -75,7 +76,7 @@
         },
         "limits": {
             "max-attempts": 3,
-            "may-probe": probes,
+            "may-probe": load_reports_available,
             "connect-timeout": 60.0,
             "retry-after": max_retry_after_ms > 0,
             "max-retry-after": max_retry_after_ms,
@@ -83,22 +84,32 @@
     }
 
 
-def configuration(
+def _class_settings(lab_class: LabClass) -> dict[str, Any]:
+    return {
+        "name": lab_class.name,
+        "goal-time": lab_class.latency_objective_ms,
+        "hard-limit": lab_class.deadline_ms,
+        "importance": lab_class.priority_weight,
+        "repeat": "idempotent",
+    }
+
+
+def balancer_configuration(
     name: str,
     listen: str,
     discovery: tuple[str, int],
-    known: Sequence[dict[str, object]],
+    known_endpoints: Sequence[Mapping[str, object]],
     settings: dict[str, Any],
     sockets: int = 4096,
     seed: int = 1,
 ) -> dict[str, Any]:
-    """The whole file that `GW_CONFIG` names."""
+    """Return the whole file that `GW_CONFIG` names."""
     return {
         "name": name,
         "listen": listen,
         "discovery": "{}:{}".format(*discovery),
         "seed": f"{seed:x}",
         "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": sockets},
-        "known": {"generation": 0, "reset": True, "instances": list(known)},
+        "known": {"generation": 0, "reset": True, "instances": list(known_endpoints)},
         "settings": settings,
     }
--- a/walkloom/lab/simulator/experiment.py
+++ b/walkloom/lab/simulator/experiment.py
@@ -40,9 +40,9 @@
     return Settings(
         request_classes=tuple(
             RequestClass(
-                latency_objective_ms=lab_class.aim_ms,
-                priority_weight=lab_class.worth,
-                message_latency_objective_ms=lab_class.message_ms,
+                latency_objective_ms=lab_class.latency_objective_ms,
+                priority_weight=lab_class.priority_weight,
+                message_latency_objective_ms=lab_class.message_latency_objective_ms,
             )
             for lab_class in CLASSES
         ),
--- a/walkloom/lab/simulator/request_lifecycle.py
+++ b/walkloom/lab/simulator/request_lifecycle.py
@@ -57,7 +57,7 @@
         if self._queue.now_ms >= client.wanted_until_ms:
             self.waiting_or_connected.discard(client)
             return
-        self._open_request(client, self._queue.now_ms + CLASSES[client.request_class].give_up_ms)
+        self._open_request(client, self._queue.now_ms + CLASSES[client.request_class].deadline_ms)
         overdue_ms = client.deadline_ms + ANSWER_GRACE_MS + OVERDUE_MARGIN_MS
         self._queue.schedule(overdue_ms, self._check_answered, client, client.request_id)
         request = Request(
--- a/walkloom/lab/simulator/service_monitor.py
+++ b/walkloom/lab/simulator/service_monitor.py
@@ -67,4 +67,4 @@
 
 
 def _priority_weight(client: ModelClient) -> float:
-    return CLASSES[client.request_class].worth
+    return CLASSES[client.request_class].priority_weight
--- a/walkloom/lab/stub_discovery.py
+++ b/walkloom/lab/stub_discovery.py
@@ -1,115 +1,72 @@
-"""A stand-in for discovery: the registry over HTTP/1.1, whole or as a watch, told late, and down on
-request."""
+"""A stub of endpoint discovery: the registry over HTTP/1.1, with watches, delays and outages."""
 
 from __future__ import annotations
 
-import math
-from dataclasses import dataclass, replace
+from http import HTTPStatus
 from urllib.parse import parse_qs, urlsplit
 
 import h11
 import orjson
 import trio
 
-from walkloom.lab.invariant_checker import Ledger
+from walkloom.lab.invariant_checker import InvariantChecker
+from walkloom.lab.registry import Registry, RegistryChange, RegistryEntry, RegistryUpdate
 
 PATH = "/registry/instances"
-WAIT_MOST_MS = 60_000.0
-KEEPS = 10_000  # changes in its log; who asks for older ones gets the whole list
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """One server, in the registry's form."""
-
-    name: str
-    address: str
-    zone: str
-    kind: str
-    state: str = "up"
-    cell: int = 0
-    weight: float = 1.0
-    started_ms: float = 0.0
-
-    def row(self) -> dict[str, object]:
-        return {
-            "instanceId": self.name,
-            "hostPort": self.address,
-            "zone": self.zone,
-            "machineType": self.kind,
-            "cell": self.cell,
-            "lifecycle": self.state,
-            "weight": self.weight,
-            "startedAtMs": self.started_ms,
-        }
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    generation: int
-    seen_at: float  # ms; when the registry begins to tell it
-    entry: Entry
-
-
-class Discovery:
-    def __init__(self, ledger: Ledger, delay_ms: float = 0.0) -> None:
-        self.delay_ms = delay_ms  # of every change from now on
-        self._down = False
-        self.calls = 0
+MAX_WAIT_MS = 60_000.0  # of a watch
+READ_SIZE_BYTES = 16_384  # far more than a request has
+
+
+class StubDiscovery:
+    """The registry of a laboratory on a loopback port."""
+
+    def __init__(self, invariants: InvariantChecker, delay_ms: float = 0.0) -> None:
+        self.delay_ms = delay_ms  # until a change becomes visible, of every change from now on
+        self.request_count = 0
         self.address = ("", 0)
-        self._ledger = ledger
-        self._log: list[Change] = []
+        self._registry = Registry()
+        self._invariants = invariants
+        self._is_down = False
         self._changed = trio.Event()
 
-    def set(self, entry: Entry) -> None:
-        """A server is new or has changed; `removed` is a state."""
-        generation = self._log[-1].generation + 1 if self._log else 1
-        at = max(self._now() + self.delay_ms, self._log[-1].seen_at if self._log else 0.0)
-        self._log.append(Change(generation, at, entry))
-        if len(self._log) > KEEPS:
-            newest = {change.entry.name: change for change in self._log}  # what a whole list needs stays
-            self._log = sorted(newest.values(), key=lambda c: c.generation)
-        self._stir()
-
-    def outage(self, down: bool) -> None:
-        """While it is down, calls are answered 503 and watches end so."""
-        self._down = down
-        self._stir()
-
-    def _stir(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
+    def put(self, entry: RegistryEntry) -> None:
+        """Add or change a server; `removed` is a lifecycle."""
+        self._registry.put(entry, _now_ms() + self.delay_ms)
+        self._wake_watchers()
 
-    def change(self, name: str, **fields: object) -> None:
-        """Changes fields of a server that is known."""
-        self.set(replace(self._latest()[name], **fields))  # type: ignore[arg-type]
+    def update(self, name: str, **fields: object) -> None:
+        """Change fields of a server; raises KeyError where it is not known."""
+        self._registry.update(name, _now_ms() + self.delay_ms, **fields)
+        self._wake_watchers()
 
-    def _latest(self) -> dict[str, Entry]:
-        return {change.entry.name: change.entry for change in self._log}
+    def set_outage(self, is_down: bool) -> None:
+        """Answer requests and watches with 503 while it is down."""
+        self._is_down = is_down
+        self._wake_watchers()
 
-    def listed(self) -> list[dict[str, object]]:
-        """The whole list as it is told now, in the registry's form."""
-        seen = {c.entry.name: c.entry for c in self._log if c.seen_at <= self._now()}
-        return [entry.row() for entry in seen.values() if entry.state != "removed"]
+    def endpoint_list(self) -> list[dict[str, object]]:
+        """Return the whole list as it is visible now, in the registry's form."""
+        return [entry.to_wire() for entry in self._registry.entries(_now_ms())]
 
-    @staticmethod
-    def _now() -> float:
-        return trio.current_time() * 1000.0
+    def _wake_watchers(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
 
     async def serve(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve requests until the end of the nursery."""
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.address = listener.socket.getsockname()[:2]
         async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._live, [listener])
+            await nursery.start(trio.serve_listeners, self._serve_stream, [listener])
             task_status.started()
 
-    async def _live(self, stream: trio.SocketStream) -> None:
+    async def _serve_stream(self, stream: trio.SocketStream) -> None:
         http = h11.Connection(h11.SERVER)
         try:
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    http.receive_data(await stream.receive_some(16_384))
+                    http.receive_data(await stream.receive_some(READ_SIZE_BYTES))
                 elif isinstance(event, h11.Request):
                     target = event.target.decode()
                 elif isinstance(event, h11.EndOfMessage):
@@ -125,48 +82,50 @@
             await trio.aclose_forcefully(stream)
 
     async def _answer(self, stream: trio.SocketStream, http: h11.Connection, target: str) -> None:
-        self.calls += 1
-        status, body, told = 200, b"", list[Change]()
+        self.request_count += 1
+        status, update = await self._handle(target)
+        body = _encode(update) if update else b""
+        response = h11.Response(status_code=status, headers=[("Content-Length", str(len(body)))])
+        data = [http.send(event) or b"" for event in (response, h11.Data(data=body), h11.EndOfMessage())]
+        await stream.send_all(b"".join(data))
+        if update and status == HTTPStatus.OK:
+            self._note_changes(update.changes)
+
+    async def _handle(self, target: str) -> tuple[HTTPStatus, RegistryUpdate | None]:
         parts = urlsplit(target)
+        if parts.path != PATH:
+            return HTTPStatus.NOT_FOUND, None
         try:
             query = {name: int(values[0]) for name, values in parse_qs(parts.query).items()}
         except ValueError:
-            query, status = {}, 400
-        if parts.path != PATH:
-            status = 404
-        elif status == 200:
-            index = query.get("index")
-            if index is not None:
-                await self._wait(index, min(query.get("wait", 0), WAIT_MOST_MS))
-            status = 503 if self._down else 200
-            body, told = self._result(index)
-        await stream.send_all(
-            (http.send(h11.Response(status_code=status, headers=[("Content-Length", str(len(body)))])) or b"")
-            + (http.send(h11.Data(data=body)) or b"")
-            + (http.send(h11.EndOfMessage()) or b"")
-        )
-        for change in told if status == 200 else ():
-            self._ledger.told(change.entry.name, change.entry.state != "up", self._now())
-
-    async def _wait(self, index: int, ms: float) -> None:
-        with trio.move_on_after(ms / 1000.0):
-            while not self._down:
-                later = [c.seen_at for c in self._log if c.generation > index]
-                if later and min(later) <= self._now():
+            return HTTPStatus.BAD_REQUEST, None
+        index = query.get("index")
+        if index is not None:
+            await self._wait_for_change(index, min(query.get("wait", 0), MAX_WAIT_MS))
+        status = HTTPStatus.SERVICE_UNAVAILABLE if self._is_down else HTTPStatus.OK
+        return status, self._registry.poll(index, _now_ms())
+
+    def _note_changes(self, changes: list[RegistryChange]) -> None:
+        for change in changes:
+            is_ready = change.entry.lifecycle == "up"
+            self._invariants.watcher_notified(change.entry.name, is_ready, _now_ms())
+
+    async def _wait_for_change(self, index: int, wait_ms: float) -> None:
+        with trio.move_on_after(wait_ms / 1000.0):
+            while not self._is_down:
+                change_ms = self._registry.next_change_ms(index)
+                if change_ms <= _now_ms():
                     return
-                with trio.move_on_after((min(later, default=math.inf) - self._now()) / 1000.0):
+                with trio.move_on_after((change_ms - _now_ms()) / 1000.0):
                     await self._changed.wait()
 
-    def _result(self, index: int | None) -> tuple[bytes, list[Change]]:
-        seen = [c for c in self._log if c.seen_at <= self._now()]
-        generation = seen[-1].generation if seen else 0
-        whole = index is None or index > generation or (seen and index < seen[0].generation - 1)
-        if whole:
-            news = seen
-            rows = self.listed()
-        else:
-            assert index is not None
-            news = [c for c in seen if c.generation > index]
-            rows = [change.entry.row() for change in {c.entry.name: c for c in news}.values()]
-        body = orjson.dumps({"generation": generation, "reset": bool(whole), "instances": rows})
-        return body, news
+
+def _encode(update: RegistryUpdate) -> bytes:
+    instances = [entry.to_wire() for entry in update.entries]
+    return orjson.dumps(
+        {"generation": update.generation, "reset": update.is_snapshot, "instances": instances}
+    )
+
+
+def _now_ms() -> float:
+    return trio.current_time() * 1000.0
