--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -19,6 +19,8 @@
 from walkloom.cli import main
 from walkloom.cli.demo import _screen
 from walkloom.lab.demo import Demo, View, summary
+from walkloom.lab.load import LoadOptions, LoadReport, Phase
+from walkloom.lab.load.json_file import write_json
 
 
 def call(*words: str) -> Result:
@@ -95,6 +97,26 @@
     assert report["unconnected"] == report["arrivals"] > 5 and report["setup"]["p99"] == 0.0
 
 
+def test_the_file_of_a_load_keeps_its_keys(tmp_path: Path) -> None:
+    path = tmp_path / "load.json"
+    write_json(path, LoadOptions(("127.0.0.1:1",), (Phase.parse("1:2"),)), LoadReport())
+    content = orjson.loads(path.read_bytes())
+    options = "addresses phases life_s line_s processes open_most seed classes tenants groups"
+    report = "arrivals up in_aim refused failed timed_out unconnected unsent moved broken lines unanswered"
+    assert list(content["load"]) == options.split()
+    assert content["load"]["phases"] == [{"first": 1.0, "last": 1.0, "seconds": 2.0}]
+    assert list(content["load"]["classes"][0]) == [
+        "name",
+        "aim_ms",
+        "give_up_ms",
+        "worth",
+        "message_ms",
+        "share",
+    ]
+    assert list(content["report"]) == [*report.split(), "setup", "line", "late", "cpu_part"]
+    assert list(content["report"]["setup"]) == ["p50", "p90", "p99", "p99.9", "p100"]
+
+
 def test_the_simulator_prints_a_row_for_each_size() -> None:
     got = call(
         "lab",
--- a/walkloom/cli/lab.py
+++ b/walkloom/cli/lab.py
@@ -4,7 +4,6 @@
 
 import sys
 from collections.abc import Sequence
-from dataclasses import asdict
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 if TYPE_CHECKING:
     from walkloom.lab.simulator import Result
 
+ROW_NAME_WIDTH = 34  # of the load report's longest name and a space or two
 MAX_PRINTED_VIOLATIONS = 10  # one cause usually breaks a rule many times
 
 SIMULATION_COLUMNS = (
@@ -39,8 +39,15 @@
 
 @command.command("load")
 @click.argument("addresses", nargs=-1, required=True)
-@click.option("-p", "--phase", "phases", multiple=True, required=True, metavar="RATE[-RATE]:SECONDS",
-              help="New connections a second, and for how long; again for the next phase.")  # fmt: skip
+@click.option(
+    "-p",
+    "--phase",
+    "phases",
+    multiple=True,
+    required=True,
+    metavar="RATE[-RATE]:SECONDS",
+    help="New connections a second, and for how long; again for the next phase.",
+)
 @click.option("--life", default=10.0, show_default=True, help="Mean life of a connection, s.")
 @click.option("--line-every", default=2.0, show_default=True, help="Seconds between two lines; 0: none.")
 @click.option("--processes", default=1, show_default=True)
@@ -60,33 +67,30 @@
     """Open-loop load against ADDRESSES (host:port each): arrivals do not wait for answers.
 
     Delays count from the time at which something was to be sent. Exit code 1: the tool itself was too
-    slow, and
-    its figures say little of the balancer.
+    slow, and its figures say little of the balancer.
     """
-    import orjson
-
-    from walkloom.client.metrics import Histogram
-    from walkloom.lab.load import Load, LoadError, Phase, run
+    from walkloom.lab.load import LoadError, LoadOptions, Phase, run
+    from walkloom.lab.load.json_file import write_json
 
     try:
-        asked = Load(addresses, tuple(map(Phase.parse, phases)), life, line_every, processes, open_most, seed)
+        options = LoadOptions(
+            addresses=addresses,
+            phases=tuple(Phase.parse(text) for text in phases),
+            mean_lifetime_s=life,
+            line_interval_s=line_every,
+            processes=processes,
+            max_connections=open_most,
+            seed=seed,
+        )
     except LoadError as error:
         raise Failure(str(error)) from None
-    report = run(asked)
+    report = run(options)
     for name, figures in report.rows():
-        click.echo(f"{name:<34} {figures}")
+        click.echo(f"{name:<{ROW_NAME_WIDTH}} {figures}")
     if out:
-        flat = {
-            name: {f"p{p:g}": value.at(p) for p in (50, 90, 99, 99.9, 100)}
-            if isinstance(value, Histogram)
-            else value
-            for name, value in vars(report).items()
-        }
-        Path(out).write_bytes(
-            orjson.dumps({"load": asdict(asked), "report": flat}, option=orjson.OPT_INDENT_2)
-        )
-    if why := report.too_slow():
-        click.echo(f"walkloom: not to be trusted: {why}", err=True)
+        write_json(Path(out), options, report)
+    if reason := report.distrust_reason():
+        click.echo(f"walkloom: not to be trusted: {reason}", err=True)
         sys.exit(1)
 
 
