--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -17,8 +17,8 @@
 from trio.testing import MockClock
 
 from walkloom.cli import main
-from walkloom.cli.demo import _screen
-from walkloom.lab.demo import Demo, View, summary
+from walkloom.cli.demo import render
+from walkloom.lab.demo import Demo, DemoView, summary
 from walkloom.lab.load import LoadOptions, LoadReport, Phase
 from walkloom.lab.load.json_file import write_json
 
@@ -146,14 +146,14 @@
 
 
 def test_the_demonstration_survives_its_drain_and_its_crash() -> None:
-    views: list[View] = []
+    views: list[DemoView] = []
     last = trio.run(Demo(8.0, views.append).run, clock=MockClock(autojump_threshold=0.002))
     n = last.figures.counters
-    assert last.faults == () and n.lost == 0 and n.moved >= 5 and n.broken >= 5 and n.returned >= 10
-    assert [row.state for row in last.rows] == ["up", "draining", "cold", "up", "up"]
-    assert any(row.state == "crashed" for view in views for row in view.rows)
+    assert last.violations == () and n.lost == 0 and n.migrated >= 5 and n.broken >= 5 and n.reconnected >= 10
+    assert [row.state for row in last.servers] == ["up", "draining", "cold", "up", "up"]
+    assert any(row.state == "crashed" for view in views for row in view.servers)
     screen = io.StringIO()
-    Console(file=screen, width=110).print(_screen(last))
+    Console(file=screen, width=110).print(render(last))
     assert (
         "s-1" in screen.getvalue()
         and "draining" in screen.getvalue()
--- a/walkloom/cli/demo.py
+++ b/walkloom/cli/demo.py
@@ -10,7 +10,11 @@
 if TYPE_CHECKING:
     from rich.console import RenderableType
 
-    from walkloom.lab.demo import View
+    from walkloom.lab.demo import DemoView
+
+SCREEN_REFRESH_PER_S = 4  # as often as the demonstration has a new view
+LOAD_BAR_WIDTH = 24  # characters
+STATE_COLOURS = {"up": "green", "draining": "yellow", "crashed": "red", "cold": "cyan"}
 
 
 @click.command("demo")
@@ -30,47 +34,63 @@
 
     console = Console()
     if plain or not console.is_terminal:
-        said = [-1]
-
-        def line(view: View) -> None:
-            if int(view.at_s) > said[0]:
-                said[0] = int(view.at_s)
-                click.echo(_line(view))
-
-        last = trio.run(Demo(seconds, line, seed).run)
+        printer = _LinePrinter()
+        last = trio.run(Demo(seconds, printer.show, seed).run)
         for event in last.events:
             click.echo(event)
     else:
-        with Live(console=console, refresh_per_second=4) as live:
-            last = trio.run(Demo(seconds, lambda view: live.update(_screen(view)), seed).run)
+        with Live(console=console, refresh_per_second=SCREEN_REFRESH_PER_S) as live:
+            last = trio.run(Demo(seconds, lambda view: live.update(render(view)), seed).run)
     for text in summary(last):
         click.echo(text)
-    sys.exit(1 if last.faults else 0)
+    sys.exit(1 if last.violations else 0)
+
+
+class _LinePrinter:
+    """Prints a line for each second of the demonstration."""
+
+    def __init__(self) -> None:
+        self._last_second = -1
+
+    def show(self, view: DemoView) -> None:
+        """Print a view, unless its second has a line already."""
+        second = int(view.elapsed_s)
+        if second > self._last_second:
+            self._last_second = second
+            click.echo(_line(view))
 
 
-def _line(view: View) -> str:
-    servers = " ".join(f"{row.name}:{row.state}:{row.connections}" for row in view.rows)
-    return f"{view.at_s:5.1f} s  standing {view.figures.standing:3d}  {servers}"
+def _line(view: DemoView) -> str:
+    servers = " ".join(f"{row.name}:{row.state}:{row.connections}" for row in view.servers)
+    return f"{view.elapsed_s:5.1f} s  standing {view.figures.established:3d}  {servers}"
 
 
-def _screen(view: View) -> RenderableType:
+def render(view: DemoView) -> RenderableType:
+    """Return a view as a table of servers, figures and events."""
     from rich.console import Group
+    from rich.text import Text
+
+    counters = view.figures.counters
+    balancers = ", ".join(f"{row.name} {row.open_requests}" for row in view.balancers)
+    figures = Text(
+        f"standing {view.figures.established} (balancers: {balancers}); rules broken {len(view.violations)}\n"
+        f"up {counters.established}, refused {counters.rejected}, failed {counters.failed}, "
+        f"moved {counters.migrated}, came back {counters.reconnected}"
+    )
+    return Group(_server_table(view), figures, *(Text(event, "dim") for event in view.events))
+
+
+def _server_table(view: DemoView) -> RenderableType:
     from rich.progress_bar import ProgressBar
     from rich.table import Table
     from rich.text import Text
 
-    colours = {"up": "green", "draining": "yellow", "crashed": "red", "cold": "cyan"}
-    table = Table(title=f"walkloom demo, {view.at_s:.0f} of {view.of_s:.0f} s", title_justify="left")
+    title = f"walkloom demo, {view.elapsed_s:.0f} of {view.duration_s:.0f} s"
+    table = Table(title=title, title_justify="left")
     for name in ("server", "state", "connections", "load", "", "set-ups"):
         table.add_column(name, justify="left" if name in ("server", "state", "") else "right")
-    for row in view.rows:
-        bar = ProgressBar(total=1.0, completed=min(row.load, 1.0), width=24)
-        state = Text(row.state, colours.get(row.state, ""))
-        table.add_row(row.name, state, str(row.connections), f"{row.load:.2f}", bar, str(row.setups))
-    n = view.figures.counters
-    balancers = ", ".join(f"{name} {count}" for name, count in view.balancers)
-    told = Text(
-        f"standing {view.figures.standing} (balancers: {balancers}); rules broken {len(view.faults)}\n"
-        f"up {n.up}, refused {n.refused}, failed {n.failed}, moved {n.moved}, came back {n.returned}"
-    )
-    return Group(table, told, *(Text(event, "dim") for event in view.events))
+    for row in view.servers:
+        bar = ProgressBar(total=1.0, completed=min(row.load, 1.0), width=LOAD_BAR_WIDTH)
+        state = Text(row.state, STATE_COLOURS.get(row.state, ""))
+        table.add_row(row.name, state, str(row.connections), f"{row.load:.2f}", bar, str(row.setup_count))
+    return table
--- a/walkloom/lab/demo/__init__.py
+++ b/walkloom/lab/demo/__init__.py
@@ -1,5 +1,10 @@
-"""The demonstration: a small fleet on loopback through a drain and a crash."""
+"""The demonstration: a small fleet on loopback through a drain and a crash.
 
-from walkloom.lab.demo.scenario import Demo, View, summary
+scenario    plays it
+view        what a screen shows of it, and its closing summary
+"""
 
-__all__ = ["Demo", "View", "summary"]
+from walkloom.lab.demo.scenario import Demo
+from walkloom.lab.demo.view import DemoView, summary
+
+__all__ = ["Demo", "DemoView", "summary"]
