--- a/walkloom/cli/demo.py
+++ b/walkloom/cli/demo.py
@@ -1,4 +1,4 @@
-"""walkloom demo: the laboratory's demonstration on a screen, or as plain lines."""
+"""The command `walkloom demo`: the laboratory's demonstration on a screen, or as plain lines."""
 
 from __future__ import annotations
 
--- a/walkloom/cli/lab.py
+++ b/walkloom/cli/lab.py
@@ -1,4 +1,4 @@
-"""walkloom lab ...: the laboratory's tools."""
+"""The commands `walkloom lab ...`: the laboratory's tools."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 import click
 
-from walkloom.cli import Failure
+from walkloom.cli import UnusableInputError
 
 if TYPE_CHECKING:
     from walkloom.lab.simulator import Result
@@ -83,7 +83,7 @@
             seed=seed,
         )
     except LoadError as error:
-        raise Failure(str(error)) from None
+        raise UnusableInputError(str(error)) from None
     report = run(options)
     for name, figures in report.rows():
         click.echo(f"{name:<{ROW_NAME_WIDTH}} {figures}")
--- a/walkloom/cli/run.py
+++ b/walkloom/cli/run.py
@@ -1,4 +1,4 @@
-"""walkloom run: the same as the platform starts, with the file named by a word."""
+"""The command `walkloom run`: the same as the platform starts, with the file named by a word."""
 
 from __future__ import annotations
 
