--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -17,8 +17,10 @@
 from trio.testing import MockClock
 
 from walkloom.cli import main
-from walkloom.cli.demo import _screen
-from walkloom.lab.demo import Demo, View, summary
+from walkloom.cli.demo import render
+from walkloom.lab.demo import Demo, DemoView, summary
+from walkloom.lab.load import LoadOptions, LoadReport, Phase
+from walkloom.lab.load.json_file import write_json
 
 
 def call(*words: str) -> Result:
@@ -34,7 +36,7 @@
 
 
 @pytest.mark.parametrize(
-    "words, text",
+    ("words", "text"),
     [
         (("nonsense",), "No such command 'nonsense'"),
         (("lab", "load", "-p", "1:1"), "Missing argument"),
@@ -95,6 +97,26 @@
     assert report["unconnected"] == report["arrivals"] > 5 and report["setup"]["p99"] == 0.0
 
 
+def test_the_file_of_a_load_keeps_its_keys(tmp_path: Path) -> None:
+    path = tmp_path / "load.json"
+    write_json(path, LoadOptions(("127.0.0.1:1",), (Phase.parse("1:2"),)), LoadReport())
+    content = orjson.loads(path.read_bytes())
+    options = "addresses phases life_s line_s processes open_most seed classes tenants groups"
+    report = "arrivals up in_aim refused failed timed_out unconnected unsent moved broken lines unanswered"
+    assert list(content["load"]) == options.split()
+    assert content["load"]["phases"] == [{"first": 1.0, "last": 1.0, "seconds": 2.0}]
+    assert list(content["load"]["classes"][0]) == [
+        "name",
+        "aim_ms",
+        "give_up_ms",
+        "worth",
+        "message_ms",
+        "share",
+    ]
+    assert list(content["report"]) == [*report.split(), "setup", "line", "late", "cpu_part"]
+    assert list(content["report"]["setup"]) == ["p50", "p90", "p99", "p99.9", "p100"]
+
+
 def test_the_simulator_prints_a_row_for_each_size() -> None:
     got = call(
         "lab",
@@ -124,14 +146,14 @@
 
 
 def test_the_demonstration_survives_its_drain_and_its_crash() -> None:
-    views: list[View] = []
+    views: list[DemoView] = []
     last = trio.run(Demo(8.0, views.append).run, clock=MockClock(autojump_threshold=0.002))
     n = last.figures.counters
-    assert last.faults == () and n.lost == 0 and n.moved >= 5 and n.broken >= 5 and n.returned >= 10
-    assert [row.state for row in last.rows] == ["up", "draining", "cold", "up", "up"]
-    assert any(row.state == "crashed" for view in views for row in view.rows)
+    assert last.violations == () and n.lost == 0 and n.migrated >= 5 and n.broken >= 5 and n.reconnected >= 10
+    assert [row.state for row in last.servers] == ["up", "draining", "cold", "up", "up"]
+    assert any(row.state == "crashed" for view in views for row in view.servers)
     screen = io.StringIO()
-    Console(file=screen, width=110).print(_screen(last))
+    Console(file=screen, width=110).print(render(last))
     assert (
         "s-1" in screen.getvalue()
         and "draining" in screen.getvalue()
--- a/walkloom/cli/lab.py
+++ b/walkloom/cli/lab.py
@@ -1,19 +1,35 @@
-"""walkloom lab ...: the laboratory's tools."""
+"""The commands `walkloom lab ...`: the laboratory's tools."""
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable, Sequence
-from dataclasses import asdict
+from collections.abc import Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
 
-from walkloom.cli import Failure
+from walkloom.cli import UnusableInputError
 
 if TYPE_CHECKING:
-    from walkloom.lab.sim import Result
+    from walkloom.lab.simulator import Result
+
+ROW_NAME_WIDTH = 34  # of the load report's longest name and a space or two
+MAX_PRINTED_VIOLATIONS = 10  # one cause usually breaks a rule many times
+
+SIMULATION_COLUMNS = (
+    "servers",
+    "balancers",
+    "served",
+    "worst 1/4 s",
+    "refused",
+    "moves",
+    "peak load",
+    "spread",
+    "us a request",
+    "simulated s a second",
+    "faults",
+)
 
 
 @click.group("lab")
@@ -23,8 +39,15 @@
 
 @command.command("load")
 @click.argument("addresses", nargs=-1, required=True)
-@click.option("-p", "--phase", "phases", multiple=True, required=True, metavar="RATE[-RATE]:SECONDS",
-              help="New connections a second, and for how long; again for the next phase.")
+@click.option(
+    "-p",
+    "--phase",
+    "phases",
+    multiple=True,
+    required=True,
+    metavar="RATE[-RATE]:SECONDS",
+    help="New connections a second, and for how long; again for the next phase.",
+)
 @click.option("--life", default=10.0, show_default=True, help="Mean life of a connection, s.")
 @click.option("--line-every", default=2.0, show_default=True, help="Seconds between two lines; 0: none.")
 @click.option("--processes", default=1, show_default=True)
@@ -44,33 +67,30 @@
     """Open-loop load against ADDRESSES (host:port each): arrivals do not wait for answers.
 
     Delays count from the time at which something was to be sent. Exit code 1: the tool itself was too
-    slow, and
-    its figures say little of the balancer.
+    slow, and its figures say little of the balancer.
     """
-    import orjson
-
-    from walkloom.client.metrics import Histogram
-    from walkloom.lab.load import Load, LoadError, Phase, run
+    from walkloom.lab.load import LoadError, LoadOptions, Phase, run
+    from walkloom.lab.load.json_file import write_json
 
     try:
-        asked = Load(addresses, tuple(map(Phase.parse, phases)), life, line_every, processes, open_most, seed)
+        options = LoadOptions(
+            addresses=addresses,
+            phases=tuple(Phase.parse(text) for text in phases),
+            mean_lifetime_s=life,
+            line_interval_s=line_every,
+            processes=processes,
+            max_connections=open_most,
+            seed=seed,
+        )
     except LoadError as error:
-        raise Failure(str(error)) from None
-    report = run(asked)
+        raise UnusableInputError(str(error)) from None
+    report = run(options)
     for name, figures in report.rows():
-        click.echo(f"{name:<34} {figures}")
+        click.echo(f"{name:<{ROW_NAME_WIDTH}} {figures}")
     if out:
-        flat = {
-            name: {f"p{p:g}": value.at(p) for p in (50, 90, 99, 99.9, 100)}
-            if isinstance(value, Histogram)
-            else value
-            for name, value in vars(report).items()
-        }
-        Path(out).write_bytes(
-            orjson.dumps({"load": asdict(asked), "report": flat}, option=orjson.OPT_INDENT_2)
-        )
-    if why := report.too_slow():
-        click.echo(f"walkloom: not to be trusted: {why}", err=True)
+        write_json(Path(out), options, report)
+    if reason := report.distrust_reason():
+        click.echo(f"walkloom: not to be trusted: {reason}", err=True)
         sys.exit(1)
 
 
@@ -92,32 +112,49 @@
     """The decision module at large size, in virtual time: a row for each size, the median over the seeds.
 
     A third into each run a tenth of the servers drains, at a half one in twenty crashes, and at two thirds
-    a tenth
-    fails most set-ups for a while. Exit code 1: a rule was broken.
+    a tenth fails most set-ups for a while. Exit code 1: a rule was broken.
     """
+    from walkloom.lab.simulator import Experiment, run_all
+
+    sizes = [(server_count, balancer_count) for server_count in servers for balancer_count in balancers]
+    experiments = [
+        Experiment(*size, duration_s=seconds, connection_rate_per_server=rate, seed=seed)
+        for size in sizes
+        for seed in range(1, seeds + 1)
+    ]
+    results = run_all(experiments, processes)
+    click.echo(_table_row(SIMULATION_COLUMNS))
+    click.echo("|" + "---|" * len(SIMULATION_COLUMNS))
+    for place, size in enumerate(sizes):
+        of_size = results[place * seeds : (place + 1) * seeds]
+        click.echo(_table_row([*map(str, size), *_simulation_figures(of_size, seconds)]))
+    violations = [violation for result in results for violation in result.violations]
+    for violation in violations[:MAX_PRINTED_VIOLATIONS]:
+        click.echo(f"walkloom: {violation}", err=True)
+    sys.exit(1 if violations else 0)
+
+
+def _table_row(cells: Sequence[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
+
+
+def _simulation_figures(results: Sequence[Result], duration_s: float) -> list[str]:
+    """Return the medians over the seeds of one size, in the order of the columns."""
     from statistics import median
 
-    from walkloom.lab.sim import Experiment, run_all
-
-    sizes = [(s, b) for s in servers for b in balancers]
-    asked = [Experiment(s, b, seconds, rate, seed=n + 1) for s, b in sizes for n in range(seeds)]
-    results = run_all(asked, processes)
-    columns = ["servers", "balancers", "served", "worst 1/4 s", "refused", "moves", "peak load", "spread"]
-    columns += ["us a request", "simulated s a second", "faults"]
-    click.echo("| " + " | ".join(columns) + " |\n|" + "---|" * len(columns))
-    for place, (s, b) in enumerate(sizes):
-        part = results[place * seeds : (place + 1) * seeds]
-
-        def of(what: Callable[[Result], float], part: Sequence[Result] = part) -> float:
-            return median(what(r) for r in part)
-
-        row = [f"{s}", f"{b}", f"{of(lambda r: r.served):.3f}", f"{of(lambda r: r.worst_look):.3f}"]
-        row += [f"{of(lambda r: r.answers['refused'] / max(r.connections, 1)):.3f}"]
-        row += [f"{of(lambda r: r.moves / max(r.connections, 1)):.3f}", f"{of(lambda r: r.peak):.2f}"]
-        row += [f"{of(lambda r: r.spread):.2f}", f"{of(lambda r: r.placement_us):.0f}"]
-        row += [f"{of(lambda r: seconds / r.wall_s):.2f}", f"{sum(r.faults_in_all for r in part)}"]
-        click.echo("| " + " | ".join(row) + " |")
-    faults = [text for r in results for text in r.faults]
-    for text in faults[:10]:
-        click.echo(f"walkloom: {text}", err=True)
-    sys.exit(1 if faults else 0)
+    from walkloom.lab.simulator import RequestResult
+
+    def share(count: int, result: Result) -> float:
+        return count / max(result.connection_count, 1)
+
+    return [
+        f"{median(each.served_share for each in results):.3f}",
+        f"{median(each.worst_sample_share for each in results):.3f}",
+        f"{median(share(each.request_results[RequestResult.REJECTED], each) for each in results):.3f}",
+        f"{median(share(each.migration_count, each) for each in results):.3f}",
+        f"{median(each.peak_load for each in results):.2f}",
+        f"{median(each.load_variation for each in results):.2f}",
+        f"{median(each.policy_cpu_us_per_request for each in results):.0f}",
+        f"{median(duration_s / each.wall_time_s for each in results):.2f}",
+        f"{sum(each.violation_count for each in results)}",
+    ]
