--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -81,7 +81,8 @@
 
 
 @pytest.mark.parametrize(
-    ("fault", "name"), [(Fault.AT_CAPACITY, "rejected"), (Fault.FAILING, "failed"), (Fault.SILENT, "timed_out")]
+    ("fault", "name"),
+    [(Fault.AT_CAPACITY, "rejected"), (Fault.FAILING, "failed"), (Fault.SILENT, "timed_out")],
 )
 def test_each_kind_of_answer_is_counted_apart(fault: Fault, name: str) -> None:
     async def body(fleet: Fleet) -> LoadReport:
--- a/tests/lab/test_stubs.py
+++ b/tests/lab/test_stubs.py
@@ -71,7 +71,8 @@
 
 
 @pytest.mark.parametrize(
-    ("fault", "answer"), [(Fault.AT_CAPACITY, b"BUSY\r\n"), (Fault.FAILING, b"ERR\r\n"), (Fault.RESETTING, None)]
+    ("fault", "answer"),
+    [(Fault.AT_CAPACITY, b"BUSY\r\n"), (Fault.FAILING, b"ERR\r\n"), (Fault.RESETTING, None)],
 )
 def test_a_fault_shows_in_its_share_of_the_answers(fault: Fault, answer: bytes | None) -> None:
     async def body(fleet: Fleet) -> None:
