--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -30,7 +30,7 @@
 @pytest.mark.parametrize(
     "words", [("--help",), ("run", "-h"), ("demo", "-h"), ("import", "-h"), ("lab", "load", "-h")]
 )
-def test_every_command_explains_itself(words: tuple[str, ...]) -> None:
+def test_every_command_has_help(words: tuple[str, ...]) -> None:
     got = call(*words)
     assert got.exit_code == 0 and "Usage:" in got.output and len(got.output.splitlines()) > 5
 
@@ -48,7 +48,7 @@
         (("import", "/no/such/file"), "No such file"),
     ],
 )
-def test_wrong_words_end_with_two_and_say_why(words: tuple[str, ...], text: str) -> None:
+def test_unusable_arguments_exit_with_two_and_a_reason(words: tuple[str, ...], text: str) -> None:
     got = call(*words)
     assert got.exit_code == 2 and text in got.output + got.stderr
 
@@ -64,7 +64,7 @@
     )
 
 
-def test_without_words_it_serves_and_with_run_the_file_is_a_word(tmp_path: Path) -> None:
+def test_it_serves_without_arguments_and_run_takes_the_file_as_an_option(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text("{")
     for got in (program(), program("run")):
@@ -73,7 +73,7 @@
     assert got.returncode == 2 and "configuration_invalid" in got.stderr and str(path) in got.stderr
 
 
-def test_the_version_and_completion_are_there() -> None:
+def test_version_and_completion_work() -> None:
     assert program("--version").stdout.startswith("walkloom, version ")
     got = program(_WALKLOOM_COMPLETE="bash_complete", COMP_WORDS="walkloom l", COMP_CWORD="1")
     assert got.returncode == 2  # without words it serves, whatever else the environment holds
@@ -81,13 +81,13 @@
     assert got.stdout == "plain,lab\n"
 
 
-def test_the_platform_s_start_loads_nothing_of_it() -> None:
+def test_a_start_by_the_platform_loads_nothing_of_the_command_line() -> None:
     code = "import sys, walkloom.__main__ as m; print({'click', 'rich', 'walkloom.cli'} & set(sys.modules))"
     got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     assert got.stdout.strip() == "set()", got.stdout + got.stderr
 
 
-def test_a_load_tells_its_figures_in_lines_and_in_a_file(tmp_path: Path) -> None:
+def test_a_load_prints_its_figures_and_writes_them_to_a_file(tmp_path: Path) -> None:
     out = tmp_path / "load.json"
     with socket.create_server(("127.0.0.1", 0)) as closed:
         address = f"127.0.0.1:{closed.getsockname()[1]}"
@@ -137,7 +137,7 @@
     assert all(0.5 < float(row[2]) <= 1.0 and row[-1] == "0 |" for row in rows)
 
 
-def test_an_import_prints_the_list(tmp_path: Path) -> None:
+def test_an_import_prints_the_endpoint_list(tmp_path: Path) -> None:
     path = tmp_path / "workers.properties"
     path.write_text("worker.list=a\nworker.a.host=10.0.0.1\nworker.a.port=8009\nworker.a.lbfactor=3\n")
     got = program("import", str(path))
@@ -145,7 +145,7 @@
     assert got.returncode == 0 and server["hostPort"] == "10.0.0.1:8009" and server["weight"] == 3
 
 
-def test_the_demonstration_survives_its_drain_and_its_crash() -> None:
+def test_the_demonstration_loses_no_session_in_its_drain_and_crash() -> None:
     views: list[DemoView] = []
     last = trio.run(Demo(8.0, views.append).run, clock=MockClock(autojump_threshold=0.002))
     n = last.figures.counters
--- a/walkloom/lab/settings.py
+++ b/walkloom/lab/settings.py
@@ -37,6 +37,17 @@
 )
 TENANTS = ("herb-ufsul", "herb-serra", "herb-pampa")
 
+# what the platform promises a balancer; the keys are the platform's, times are ms
+_GUARANTEES = {
+    "drain-grace": 500.0,
+    "ask-within": 10_000.0,
+    "grace-to-answer": 8.0,
+    "cold-from": 0.37,
+    "cold": 7700.0,
+    "overload-factor": 4.0,
+    "overload-for": 1000.0,
+}
+
 
 def platform_settings(
     *,
@@ -65,15 +76,7 @@
             "tells-delay": False,
         },
         "stats": {"fields": ["served_ps", "busy_reqs", "x0"]},
-        "guarantees": {
-            "drain-grace": 500.0,
-            "ask-within": 10_000.0,
-            "grace-to-answer": 8.0,
-            "cold-from": 0.37,
-            "cold": 7700.0,
-            "overload-factor": 4.0,
-            "overload-for": 1000.0,
-        },
+        "guarantees": dict(_GUARANTEES),
         "limits": {
             "max-attempts": 3,
             "may-probe": load_reports_available,
