--- a/walkloom/frontends/line/connection_shutdown.py
+++ b/walkloom/frontends/line/connection_shutdown.py
@@ -91,7 +91,7 @@
         """End a client connection without a request, after its stage `idle` with this scope.
 
         Closing over a request that is just arriving would reset the connection, and its client could not know
-        whether it ran. It reads `BUSY` first: nothing was sent on.
+        whether it ran. It reads `BUSY` first: nothing was forwarded.
         """
         is_reclaimed = scope.cancelled_caught and trio.current_time() < self._shutdown_started_at_s
         if is_reclaimed:
