Give the endpoint list a lease, and pace calls for it by what is left of the lease

After a failed call for the list the pause was 250 ms for each balancer that the settings tell, less 2 s, at most 0.8 of ask-within, times 0.5 to 1.5: 4 to 12 s with 200 balancers. Nobody owned the question how old the list may be, so it was used meanwhile, whatever its age; and with three balancers several failures, silence or spoilt answers came to the same end. Evidence: the reproduction's logs show the next call 4 to 12 s after the 503; silence alone, which is not a failed call, is never late; with three balancers one failure is not, six are.

Change. policy/list_lease owns that question. A lease begins with the first byte of an answer and ends before a change that followed at once binds (6 s and the drain grace, less 150 ms twice for a held-up process); a discovery that is seen to refuse at once, every 1.2 s, is down, and the lease goes on. When it is over new requests are rejected (reason list_expired) and none whose attempt is connecting is sent. endpoint_watch paces calls by what is left: full jitter within half of it, spread by what a call was seen to take, and slower, not faster, where discovery drops calls from its queue. A second stall in a row is a failed call. A pushed list's agent is called again within a quarter of the drain grace.

Why it works: whatever the sequence of faults, nothing is sent once a change could count. That is checked at the choice and at the last look before the first byte, in one place.

--- a/walkloom/balancer.py
+++ b/walkloom/balancer.py
@@ -29,6 +29,7 @@
     dispatch,
     endpoint_selection,
     endpoint_watch,
+    list_lease,
     load_reports,
     migration,
     outlier_detection,
@@ -69,9 +70,19 @@
         endpoint = self.state.endpoints.by_id.get(endpoint_id)
         if request is None or endpoint is None or request.is_over:
             return False
-        is_allowed = dispatch.may_retry(self.state, request)
+        is_allowed = dispatch.may_retry(self.state, request) and list_lease.is_valid(self.state)
         return is_allowed and endpoint_selection.is_within_drain_grace(self.state, endpoint)
 
+    def watch_hold_ms(self, now: float) -> float:
+        """How long discovery may hold the next call for the list, ms. now: ms."""
+        self.state.now = now
+        return endpoint_watch.hold_ms(self.state)
+
+    def list_lease_ms(self, now: float) -> float:
+        """How long the endpoint list may still be used, ms; 0: it may not. now: ms."""
+        self.state.now = now
+        return list_lease.remaining_ms(self.state)
+
 
 def _receive_request(state: BalancerState, event: Request) -> None:
     if request := state.requests.add(event):
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -35,6 +35,9 @@
 # A shorter deadline could not be met by any endpoint.
 MIN_DEADLINE_MS = 1.0
 
+# A change of a list that is asked for counts as notified so long after discovery had it. The platform's rule.
+MAX_LIST_AGE_MS = 6000.0
+
 # How long a connection attempt may take, where the file does not say.
 DEFAULT_CONNECT_TIMEOUT_MS = 1000.0
 
@@ -215,6 +218,8 @@
     # Over sockets loads are polled before a placement; only on the simulator's wire do endpoints report
     # latencies by themselves.
     settings = replace(read_settings(reader), server_reports_latency=False)
+    if settings.polls_endpoint_list:
+        settings = replace(settings, max_list_age_ms=MAX_LIST_AGE_MS)
     names = SettingNames(
         classes=_parse_names(data, "classes"),
         tenants=_parse_names(data, "accounts"),
--- a/walkloom/discovery/call_log.py
+++ b/walkloom/discovery/call_log.py
@@ -56,17 +56,23 @@
         self._confirmed_at = now
         self._report_at_intervals(now)
 
-    def record_failure(self, called_at: float, now: float, error: str, *, stalled: bool = False) -> None:
-        """Count a call that brought no list; error: why. stalled: it was given up without any answer."""
+    def record_failure(
+        self, called_at: float, now: float, error: str, lease_ms: float, *, stalled: bool = False
+    ) -> None:
+        """Count a call that brought no list; error: why. stalled: it was given up without any answer.
+
+        lease_ms: how long the list may still be used.
+        """
         self.failed += not stalled
         self.stalled += stalled
         self._failures_in_a_row += 1
         call_ms = max(now - called_at, 0.0) * 1000.0 if math.isfinite(called_at) else 0.0
         log.warning(
-            "discovery_failed error=%r call_ms=%.0f list_age_ms=%.0f failures=%d",
+            "discovery_failed error=%r call_ms=%.0f list_age_ms=%.0f lease_ms=%.0f failures=%d",
             error,
             call_ms,
             self.list_age_s(now) * 1000.0,
+            lease_ms,
             self._failures_in_a_row,
         )
 
--- a/walkloom/discovery/errors.py
+++ b/walkloom/discovery/errors.py
@@ -3,9 +3,11 @@
 DiscoveryError
 ├── MalformedEndpointListError    the response is not an endpoint list
 ├── ConnectTimeoutError           discovery does not accept a connection
+├── ConnectRefusedError           nothing listens at discovery's address
 ├── ResponseStatusError           the response has another status than 200
 ├── ResponseTooLargeError         the body exceeds the limit
-├── ResponseIncompleteError       the connection closed before the response was complete
+├── ResponseIncompleteError       the connection ended or broke before the response was complete
+├── CallStalledError              no response came in the time that a call may take
 └── UnsolicitedResponseError      bytes followed the response that no call asked for
 
 Their texts are the `error` of the log event `discovery_failed`.
@@ -35,6 +37,15 @@
         self.port = port
 
 
+class ConnectRefusedError(DiscoveryError):
+    """Nothing listens at discovery's address."""
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__("connection refused")
+        self.host = host
+        self.port = port
+
+
 class ResponseStatusError(DiscoveryError):
     """Discovery answered with another HTTP status than 200."""
 
@@ -52,13 +63,23 @@
 
 
 class ResponseIncompleteError(DiscoveryError):
-    """The connection closed before the response was complete."""
+    """The connection ended or broke before the response was complete.
 
-    def __init__(self, received_bytes: int) -> None:
-        super().__init__("closed")
+    received_bytes: what had come of the response, its head included.
+    """
+
+    def __init__(self, received_bytes: int, reason: str = "closed") -> None:
+        super().__init__(reason)
         self.received_bytes = received_bytes
 
 
+class CallStalledError(DiscoveryError):
+    """No response came in the time that a call may take."""
+
+    def __init__(self) -> None:
+        super().__init__("stalled")
+
+
 class UnsolicitedResponseError(DiscoveryError):
     """Bytes followed a response that no call asked for."""
 
--- a/walkloom/discovery/http_connection.py
+++ b/walkloom/discovery/http_connection.py
@@ -5,10 +5,14 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import dataclass
+
 import h11
 import trio
 
 from walkloom.discovery.errors import (
+    ConnectRefusedError,
     ConnectTimeoutError,
     ResponseIncompleteError,
     ResponseStatusError,
@@ -17,9 +21,6 @@
 )
 from walkloom.transport.address import SocketAddress
 
-# How long discovery may hold a call while nothing changes; the call names it as `wait`.
-HOLD_MS = 2000
-
 # A discovery that does not accept within this time counts as a failed call, so that the next may come.
 CONNECT_TIMEOUT_S = 1.0
 
@@ -33,6 +34,16 @@
 LIST_PATH = "/registry/instances"
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedList:
+    """The body of a response, and when it began to come."""
+
+    body: bytes
+
+    # Trio's clock; discovery wrote the list then at the latest.
+    first_byte_at: float
+
+
 class DiscoveryConnection:
     """One connection to discovery, for calls one after another.
 
@@ -49,11 +60,17 @@
     async def open(cls, address: SocketAddress) -> DiscoveryConnection:
         """Connect to discovery.
 
-        Raises ConnectTimeoutError if it does not accept in CONNECT_TIMEOUT_S, OSError if it refuses.
+        Raises ConnectTimeoutError if it does not accept in CONNECT_TIMEOUT_S, ConnectRefusedError if it
+        refuses, and OSError if this machine cannot connect.
         """
         host, port = address
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
-            return cls(await trio.open_tcp_stream(host, port), address)
+        try:
+            with trio.move_on_after(CONNECT_TIMEOUT_S):
+                return cls(await trio.open_tcp_stream(host, port), address)
+        except OSError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise ConnectRefusedError(host, port) from error
+            raise
         raise ConnectTimeoutError(host, port)
 
     @property
@@ -61,20 +78,25 @@
         """Whether another call may be made over this connection."""
         return self._http.our_state is h11.IDLE
 
-    async def fetch(self, generation: int | None) -> bytes:
-        """Make one call and return the body of its response.
+    async def fetch(self, generation: int | None, hold_ms: float) -> ReceivedList:
+        """Make one call and return its response.
 
         generation: the version of the list that is held; discovery answers once there is a newer one, or
-        after HOLD_MS. None: the whole list is wanted at once.
+        after hold_ms. None: the whole list is wanted at once.
 
         Raises ResponseStatusError, ResponseTooLargeError or ResponseIncompleteError.
         """
-        await self._stream.send_all(self._encode_request(generation))
+        await self._stream.send_all(self._encode_request(generation, hold_ms))
         body = bytearray()
+        first_byte_at = math.inf
+        received_bytes = 0
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+                data = await self._receive(received_bytes)
+                received_bytes += len(data)
+                self._http.receive_data(data)
+                first_byte_at = min(first_byte_at, trio.current_time())
             elif isinstance(event, h11.Response) and event.status_code != HTTP_OK:
                 raise ResponseStatusError(event.status_code)
             elif isinstance(event, h11.Data):
@@ -82,9 +104,16 @@
                 if len(body) > MAX_BODY_BYTES:
                     raise ResponseTooLargeError(len(body))
             elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return ReceivedList(bytes(body), first_byte_at)
             elif isinstance(event, h11.ConnectionClosed):
-                raise ResponseIncompleteError(len(body))
+                raise ResponseIncompleteError(received_bytes)
+
+    async def _receive(self, received_bytes: int) -> bytes:
+        """Read once; raises ResponseIncompleteError where the connection breaks."""
+        try:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        except trio.BrokenResourceError as error:
+            raise ResponseIncompleteError(received_bytes, str(error) or "broken") from error
 
     def finish_call(self) -> None:
         """Make the connection ready for its next call, if both sides keep it open.
@@ -102,11 +131,11 @@
         """Close the connection without waiting for the other side."""
         await trio.aclose_forcefully(self._stream)
 
-    def _encode_request(self, generation: int | None) -> bytes:
+    def _encode_request(self, generation: int | None, hold_ms: float) -> bytes:
         host, port = self._address
         target = LIST_PATH
         if generation is not None:
-            target += f"?index={generation}&wait={HOLD_MS}"
+            target += f"?index={generation}&wait={hold_ms:.0f}"
         request = h11.Request(method="GET", target=target, headers=[("Host", f"{host}:{port}")])
         head = self._http.send(request) or b""
         end = self._http.send(h11.EndOfMessage()) or b""
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -15,9 +15,10 @@
 from walkloom.config import SettingNames
 from walkloom.discovery.address_book import AddressBook
 from walkloom.discovery.call_log import CallLog
+from walkloom.discovery.call_outcome import EndedCall
 from walkloom.discovery.codec import EndpointListResponse, decode
-from walkloom.discovery.errors import DiscoveryError
-from walkloom.discovery.http_connection import HOLD_MS, DiscoveryConnection
+from walkloom.discovery.errors import CallStalledError, DiscoveryError
+from walkloom.discovery.http_connection import DiscoveryConnection, ReceivedList
 from walkloom.engine.engine import Engine
 from walkloom.messages import EndpointId, EndpointListUpdate, UpdateKind
 from walkloom.transport.address import SocketAddress
@@ -26,10 +27,12 @@
 
 log = logging.getLogger("walkloom")
 
-# How much later than HOLD_MS a response may come before the call counts as stalled. What a silent watch
-# misses counts as received 6 s after it fell silent; of these, 3.8 s pass until it is given up. The 2.2 s
-# left and the drain grace are for the queue of all balancers that call again (2 s).
-STALL_GRACE_S = 1.8
+# How long a call may take, of which discovery may hold it for 2 s. What a silent watch misses counts as
+# received 6 s after it fell silent: what is left is for the queue of all balancers that call again.
+CALL_TIMEOUT_S = 3.8
+
+# The most that a pushed list's agent may take for an answer at once.
+MAX_AGENT_TIMEOUT_S = 1.8
 
 # Least time from one call to the next while discovery answers at once and with no change. The watch goes on
 # without a gap if the next call comes within 0.2 s.
@@ -49,6 +52,9 @@
         # When the newest call began, trio's clock.
         self._called_at = -math.inf
 
+        # The newest call goes on with a watch: an answer came over the same connection right before.
+        self._continues_watch = False
+
         # Version of the list that is held; None: the whole list is wanted, whatever its version.
         self._generation: int | None = 0
 
@@ -62,7 +68,7 @@
         # that the agent has counts as received, so that its answer must come well within the grace after
         # which a drain binds: within half of it.
         self._list_is_pushed = not engine.settings.polls_endpoint_list
-        self._agent_timeout_s = min(engine.settings.drain_grace_ms / 2.0 / 1000.0, STALL_GRACE_S)
+        self._agent_timeout_s = min(engine.settings.drain_grace_ms / 2.0 / 1000.0, MAX_AGENT_TIMEOUT_S)
 
     def address(self, endpoint_id: EndpointId) -> SocketAddress | None:
         """Return an endpoint's address; None if the list does not name the endpoint."""
@@ -80,7 +86,8 @@
             log.warning("cached_endpoint_list_invalid error=%r", str(error))
             self._engine.endpoint_list_received(UpdateKind.CACHED)
         else:
-            self._apply(response, UpdateKind.CACHED)
+            cached = response.update._replace(kind=UpdateKind.CACHED, confirmed_at=self._engine.now())
+            self._apply(response, cached)
         if self._list_is_pushed:
             self._generation = None
 
@@ -108,8 +115,7 @@
                 except (DiscoveryError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
                     # A failure of the discovery that was just replaced says nothing of the present one.
                     if not self._calls.cancel_called:
-                        self._record_failure(str(error) or repr(error))
-                        self._engine.endpoint_list_received(UpdateKind.FAILED)
+                        self._report_failure(error)
 
     def change_discovery(self, discovery: SocketAddress) -> None:
         """Call discovery at another address from now on; the call in flight ends.
@@ -122,31 +128,50 @@
         self._calls.cancel()
         self._engine.discovery_changed()
 
+    def report_calls(self) -> None:
+        """Log the counters of calls since the start."""
+        self._call_log.report()
+
     async def _watch(self) -> None:
         """Make calls until one fails or discovery is changed; reconnect at once when a connection ends."""
+        has_stalled = False
         while not self._calls.cancel_called:
             self._called_at = trio.current_time()
+            self._continues_watch = False
             connection = await DiscoveryConnection.open(self._discovery)
             try:
                 await self._poll(connection)
+            except CallStalledError:
+                # A watch that fell silent is opened anew without the pause after a failure: what it misses
+                # counts as received soon (rule 3). A new call that stalls, too, is a failed one.
+                is_first_stall = self._continues_watch or not has_stalled
+                if not (is_first_stall or self._list_is_pushed):
+                    raise
+                has_stalled = True
+                self._record_failure("stalled", stalled=True)
             finally:
                 await connection.close()
 
     async def _poll(self, connection: DiscoveryConnection) -> None:
-        """Make calls over one connection until it closes or stalls, or discovery is changed."""
+        """Make calls over one connection until it closes, or discovery is changed.
+
+        Raises CallStalledError.
+        """
         previous_was_premature = False
         while connection.is_reusable:
             self._called_at = trio.current_time()
-            body = await self._fetch(connection)
-            if body is None:
+            hold_ms = self._engine.watch_hold_ms()
+            received = await self._fetch(connection, hold_ms)
+            if received is None:
                 return
-            response = decode(body, self._names)
+            response = decode(received.body, self._names)
             self._call_log.record_answer(
                 self._called_at, trio.current_time(), response.generation, len(response.update.endpoints)
             )
             # The list is sound even if bytes follow that are not, so that it comes into force first.
-            self._apply(response, response.update.kind)
+            self._apply(response, self._confirmed_update(response, received, hold_ms))
             connection.finish_call()
+            self._continues_watch = True
             elapsed_s = trio.current_time() - self._called_at
             is_premature = elapsed_s < MIN_EMPTY_CALL_INTERVAL_S and not response.update.endpoints
             # A discovery that holds no call would otherwise be called in a busy loop. Only the second such
@@ -155,48 +180,69 @@
                 await trio.sleep(MIN_EMPTY_CALL_INTERVAL_S)
             previous_was_premature = is_premature
 
-    async def _fetch(self, connection: DiscoveryConnection) -> bytes | None:
-        """Make one call; None if it stalled, or if discovery was changed meanwhile."""
+    async def _fetch(self, connection: DiscoveryConnection, hold_ms: float) -> ReceivedList | None:
+        """Make one call; None if discovery was changed meanwhile. Raises CallStalledError."""
         with trio.move_on_after(self._call_timeout_s()) as timeout:
-            body = await connection.fetch(self._generation)
+            received = await connection.fetch(self._generation, hold_ms)
         if timeout.cancelled_caught:
-            # No update of kind FAILED, so that the next call comes without the pause after a failure: what
-            # a silent watch misses counts as received soon (rule 3), and silence does not mean that
-            # discovery has a queue.
-            self._record_failure("stalled", stalled=True)
-            return None
+            raise CallStalledError
         if self._calls.cancel_called:
             # The response came in the tick in which discovery was changed: it must not overwrite the
             # generation, nor the list of the discovery that follows.
             return None
-        return body
+        return received
 
     def _call_timeout_s(self) -> float:
         """Return how long the next call may take."""
         agent_answers_at_once = self._list_is_pushed and self._generation is None
-        if agent_answers_at_once:
-            return self._agent_timeout_s
-        return HOLD_MS / 1000.0 + STALL_GRACE_S
+        return self._agent_timeout_s if agent_answers_at_once else CALL_TIMEOUT_S
+
+    def _confirmed_update(
+        self, response: EndpointListResponse, received: ReceivedList, hold_ms: float
+    ) -> EndpointListUpdate:
+        """Return the response's update with what the call tells of the list's age and of discovery."""
+        elapsed_ms = (received.first_byte_at - self._called_at) * 1000.0
+        was_held_ms = 0.0 if self._generation is None else hold_ms
+        shows_queue = not self._continues_watch and elapsed_ms >= was_held_ms
+        return response.update._replace(
+            confirmed_at=self._engine_time(received.first_byte_at),
+            call_ms=elapsed_ms - was_held_ms if shows_queue else 0.0,
+        )
+
+    def _engine_time(self, at: float) -> float:
+        """Return a time of trio's clock as one of the engine's, ms."""
+        return self._engine.now() - (trio.current_time() - at) * 1000.0
 
-    def _apply(self, response: EndpointListResponse, kind: UpdateKind) -> None:
+    def _apply(self, response: EndpointListResponse, update: EndpointListUpdate) -> None:
         """Bring a list into force."""
-        update = response.update._replace(kind=kind)
         self._generation = response.generation
         # Before the engine: what the policy starts at once on the new list looks up its address here.
         self._address_book.apply(update, response.addresses)
         _log_update(update)
-        self._engine.endpoint_list_received(update.kind, update.endpoints)
+        self._engine.endpoint_list_updated(update)
         # After the engine: whoever waits for the first list may place requests by it.
-        if kind is not UpdateKind.CACHED:
+        if update.kind is not UpdateKind.CACHED:
             self._first_list_received.set()
 
-    def report_calls(self) -> None:
-        """Log the counters of calls since the start."""
-        self._call_log.report()
+    def _report_failure(self, error: Exception) -> None:
+        """Log a failed call and hand the failure to the policy."""
+        now = trio.current_time()
+        ended = EndedCall(error, now - self._called_at, self._continues_watch)
+        self._record_failure(str(error) or repr(error), stalled=isinstance(error, CallStalledError))
+        self._engine.endpoint_list_updated(
+            EndpointListUpdate(
+                UpdateKind.FAILED,
+                failure=ended.failure,
+                call_ms=ended.duration_s * 1000.0,
+                watched_until=self._engine.now() if ended.ended_watch else None,
+            )
+        )
 
     def _record_failure(self, error: str, *, stalled: bool = False) -> None:
         """Log a failed or stalled call; the last list stays in force."""
-        self._call_log.record_failure(self._called_at, trio.current_time(), error, stalled=stalled)
+        self._call_log.record_failure(
+            self._called_at, trio.current_time(), error, self._engine.list_lease_ms(), stalled=stalled
+        )
         if self._list_is_pushed:
             # An agent that speaks again sends the whole list at once, where it might hold a call for changes.
             self._generation = None
--- a/walkloom/engine/engine.py
+++ b/walkloom/engine/engine.py
@@ -203,11 +203,23 @@
 
     def endpoint_list_received(self, kind: UpdateKind, servers: Iterable[Endpoint] = ()) -> None:
         """Hand the policy an update of the endpoint list; servers: its endpoints, none where it failed."""
-        if kind is UpdateKind.FAILED:
+        self.endpoint_list_updated(EndpointListUpdate(kind, tuple(servers)))
+
+    def endpoint_list_updated(self, update: EndpointListUpdate) -> None:
+        """Hand the policy an update of the endpoint list, or the failure of a call for it."""
+        if update.kind is UpdateKind.FAILED:
             # Drops a wish from before the failure, which would skip the backoff; before the dispatch, in
             # which the policy may ask anew.
             self._endpoint_list_wanted = trio.Event()
-        self.dispatch(EndpointListUpdate(kind, tuple(servers)))
+        self.dispatch(update)
+
+    def watch_hold_ms(self) -> float:
+        """Return how long discovery may hold the next call for the list, ms."""
+        return self._balancer.watch_hold_ms(self.now())
+
+    def list_lease_ms(self) -> float:
+        """Return how long the endpoint list may still be used, ms; inf: without limit."""
+        return self._balancer.list_lease_ms(self.now())
 
     async def wait_for_watch_request(self) -> None:
         """Return once the policy has asked for the endpoint list since the last return."""
--- a/walkloom/messages/actions.py
+++ b/walkloom/messages/actions.py
@@ -14,6 +14,8 @@
     UNSPECIFIED = "unspecified"
     # The list names no endpoint that may be used.
     NO_ENDPOINT = "no_endpoint"
+    # Discovery has not confirmed the list for so long that any endpoint may drain.
+    LIST_EXPIRED = "list_expired"
     # All usable endpoints are full, paused or still cold.
     AT_CAPACITY = "at_capacity"
     # Too little of the request's time is left for one more attempt.
--- a/walkloom/messages/events.py
+++ b/walkloom/messages/events.py
@@ -25,6 +25,17 @@
     FAILED = 3  # nothing: the list could not be had
 
 
+class ListFailure(IntEnum):
+    """What a call that brought no endpoint list tells of discovery."""
+
+    # Nothing: it may be silent, crowded, or broken, and tell others what this balancer misses.
+    UNANSWERED = 0
+    # It refused at once: it is down, so that nobody learns of a change.
+    UNREACHABLE = 1
+    # It refused after a while: it has more calls than it can answer.
+    OVERLOADED = 2
+
+
 class AttemptStatus(IntEnum):
     """How an attempt or a poll ended.
 
@@ -86,6 +97,18 @@
     # Without repeats, in no order that matters; empty when FAILED.
     endpoints: tuple[Endpoint, ...] = ()
 
+    # When discovery wrote it at the latest, ms; None: the wire does not tell.
+    confirmed_at: float | None = None
+
+    # What the call took beyond the time that discovery was asked to hold it, ms; 0: not known.
+    call_ms: float = 0.0
+
+    # FAILED only: what that tells.
+    failure: ListFailure = ListFailure.UNANSWERED
+
+    # FAILED only: until when a watch was open over a sound connection, ms; None: there was none.
+    watched_until: float | None = None
+
 
 class Request(NamedTuple):
     """A client's try; one final answer is owed before the deadline."""
--- a/walkloom/messages/settings.py
+++ b/walkloom/messages/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -89,6 +90,10 @@
     # A balancer that polls and has not asked for so long counts as notified of all that the list says.
     max_poll_interval_ms: float = 0.0
 
+    # A change counts as notified so long after discovery had it, whether or not it arrived. Infinite where
+    # nothing is missed: on the simulator's wire, and where the list is pushed.
+    max_list_age_ms: float = math.inf
+
     # A final answer so long after the deadline still counts.
     answer_grace_ms: float = 0.0
 
@@ -138,6 +143,11 @@
     # The longest delay before a retry that clients observe; 0: clients get none.
     max_retry_after_ms: float = 0.0
 
+    @property
+    def limits_list_age(self) -> bool:
+        """Whether changes of the endpoint list count as notified although they did not arrive."""
+        return math.isfinite(self.max_list_age_ms)
+
     def __post_init__(self) -> None:
         valid = {
             "request_classes": bool(self.request_classes),
--- a/walkloom/policy/__init__.py
+++ b/walkloom/policy/__init__.py
@@ -4,5 +4,5 @@
 - `endpoint_selection`, `load_reports`, `load_polling`: which endpoint a request is sent to
 - `outlier_detection`, `slow_start`: which endpoints get trials only, or few requests
 - `migration`: what overloaded endpoints get, and which open connections move
-- `endpoint_watch`: when the endpoint list is asked for
+- `list_lease`: how old the endpoint list may be; `endpoint_watch`: when it is asked for
 """
--- a/walkloom/policy/dispatch.py
+++ b/walkloom/policy/dispatch.py
@@ -3,7 +3,7 @@
 from walkloom.messages.actions import AnswerReason, Fail, Reject, StartAttempt
 from walkloom.messages.events import NEVER_RAN, AttemptEnded, AttemptStatus
 from walkloom.messages.settings import Idempotency
-from walkloom.policy import endpoint_selection, load_polling, migration, outlier_detection
+from walkloom.policy import endpoint_selection, list_lease, load_polling, migration, outlier_detection
 from walkloom.policy.load_reports import REPORT_MAX_AGE_MS
 from walkloom.policy.slow_start import BACK_OFF_MS
 from walkloom.state import BalancerState, EndpointState, Placement, RequestState, TimerToken
@@ -41,6 +41,8 @@
     """Why no attempt can be made for the request any more; None where one can."""
     if state.max_attempts == 0:
         return AnswerReason.SHUTDOWN
+    if not list_lease.is_valid(state):
+        return AnswerReason.LIST_EXPIRED
     if request.attempts >= state.max_attempts:
         return AnswerReason.ATTEMPTS_USED
     if state.now >= latest:
--- a/walkloom/state/__init__.py
+++ b/walkloom/state/__init__.py
@@ -5,6 +5,7 @@
 - `endpoint`, `request`: what is known of one endpoint and of one request
 - `endpoint_pool`, `stable_hash`: endpoints of one tier, ranked for an affinity group by rendezvous hashing
 - `load_estimator`: the loads of connections, relative to the mean of those reported
+- `list_lease`: until when the endpoint list may be used
 - `timers`: the timers that the policy starts
 """
 
@@ -12,6 +13,7 @@
 from walkloom.state.endpoint import LONG_AGO, READY, EndpointState, Placement
 from walkloom.state.endpoint_pool import Candidates, EndpointPool, Endpoints, Tier
 from walkloom.state.endpoint_table import EndpointTable
+from walkloom.state.list_lease import ListLease
 from walkloom.state.load_estimator import LoadEstimator
 from walkloom.state.request import RequestState
 from walkloom.state.request_table import Attempt, RequestTable
@@ -28,6 +30,7 @@
     "EndpointState",
     "EndpointTable",
     "Endpoints",
+    "ListLease",
     "LoadEstimator",
     "Placement",
     "RequestState",
--- a/walkloom/state/balancer_state.py
+++ b/walkloom/state/balancer_state.py
@@ -9,6 +9,7 @@
 from walkloom.messages import Action, Settings, StartTimer
 from walkloom.state.endpoint import EndpointState
 from walkloom.state.endpoint_table import EndpointTable
+from walkloom.state.list_lease import ListLease
 from walkloom.state.load_estimator import LoadEstimator
 from walkloom.state.request import RequestState
 from walkloom.state.request_table import RequestTable
@@ -42,8 +43,8 @@
         # dispatch
         self.max_attempts = settings.max_attempts
         self.is_hold_timer_running = False
-        # endpoint_watch
-        self.watch_backoff_ms = 0.0
+        # list_lease, endpoint_watch
+        self.list_lease = ListLease()
         # migration
         self.is_drain_timer_running = False
         # slow_start
