--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -81,7 +81,8 @@
     queue_ms = QUEUE_MARGIN * state.settings.balancer_count * lease.call_ms
     if event.failure is ListFailure.OVERLOADED:
         limit_ms = max(MAX_PAUSE_IF_OVERLOADED_MS, 2.0 * queue_ms)
-        return min(max(backoff_ms, max(event.call_ms, queue_ms) * 2.0**doublings), limit_ms)
+        # the second such call comes no slower: one that is down may answer so, too
+        return min(max(event.call_ms, queue_ms) * 2.0 ** max(doublings - 1, 0), limit_ms)
     limit_ms = LEASE_SHARE * list_lease.remaining_ms(state)
     if not list_lease.is_valid(state):
         limit_ms = state.settings.max_list_age_ms
