Leave the draining tier before a held-up process could send too late

A client's request reached a draining server up to 90 ms after the bound, where all servers drained and the process was stopped for 150 ms as the drain was written: 16 requests of a run of three processes. The notice was read that late, and the draining tier ended 4 ms before the grace, counted from the reading.

The tier now ends at the grace less 150 ms for a late read and 150 ms for a late send (Settings.max_hold_up_ms, the platform's figure, 0 on the simulator's wire where events carry their time). The lease of the list uses the same figure.

The new scenario all_servers_drain_while_the_processes_are_held_up had 16 violations before and has none.

--- a/tests/policy/test_list_lease.py
+++ b/tests/policy/test_list_lease.py
@@ -11,6 +11,7 @@
     AnswerReason,
     Endpoint,
     EndpointListUpdate,
+    Lifecycle,
     ListFailure,
     Reject,
     StartAttempt,
@@ -68,6 +69,18 @@
     assert not rig.balancer.may_send(request, "a", rig.now + GRACE_MS)
 
 
+def test_a_process_that_may_be_held_up_leaves_the_draining_tier_earlier() -> None:
+    rig = start(max_hold_up_ms=150.0)
+    confirm(rig)
+    draining = EndpointListUpdate(
+        UpdateKind.INCREMENTAL, (A._replace(lifecycle=Lifecycle.DRAINING),), confirmed_at=rig.now
+    )
+    rig.give(draining)
+    # The notice may have been read 150 ms late, and a byte may leave 150 ms after the last look.
+    assert rig.where(rig.at(GRACE_MS - 310.0).request()) == "a"
+    assert rig.where(rig.at(20.0).request()) is None
+
+
 def test_the_list_serves_on_while_discovery_is_seen_to_be_down() -> None:
     rig = start()
     confirm(rig)
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -38,6 +38,9 @@
 # A change of a list that is asked for counts as notified so long after discovery had it. The platform's rule.
 MAX_LIST_AGE_MS = 6000.0
 
+# The process may be held up so long between reading its clock and writing. The platform's rule.
+MAX_HOLD_UP_MS = 150.0
+
 # How long a connection attempt may take, where the file does not say.
 DEFAULT_CONNECT_TIMEOUT_MS = 1000.0
 
@@ -217,7 +220,7 @@
     reader = SettingsReader(flatten_settings(data))
     # Over sockets loads are polled before a placement; only on the simulator's wire do endpoints report
     # latencies by themselves.
-    settings = replace(read_settings(reader), server_reports_latency=False)
+    settings = replace(read_settings(reader), server_reports_latency=False, max_hold_up_ms=MAX_HOLD_UP_MS)
     if settings.polls_endpoint_list:
         settings = replace(settings, max_list_age_ms=MAX_LIST_AGE_MS)
     names = SettingNames(
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from walkloom.lab.soak import schedule as schedules
 from walkloom.lab.soak.deployment import Deployment
 from walkloom.lab.soak.discovery import DiscoveryMode
 from walkloom.lab.soak.runner import RunPlan
-from walkloom.lab.soak.schedule import Schedule, Step, StepKind
+from walkloom.lab.soak.schedule import MAX_STOP_S, Schedule, Step, StepKind
 
 SERVER_COUNT = 8
 DRAINED = tuple(range(SERVER_COUNT // 2))
@@ -109,5 +110,10 @@
         Step(FAULT_AT_S - 0.5, StepKind.KILL, processes=(0, 1, 2)),
         _fail_calls(1, FAULT_AT_S - 0.5),
     ),
+    "all_servers_drain_while_the_processes_are_held_up": lambda: _plan(
+        replace(_deployment(balancer_count=3), request_rate=150.0),
+        Step(FAULT_AT_S - 0.01, StepKind.STOP, processes=(0, 1, 2), seconds=MAX_STOP_S),
+        drained=tuple(range(SERVER_COUNT)),
+    ),
     "only_silence": lambda: _plan(_deployment(), _silence()),
 }
--- a/walkloom/messages/settings.py
+++ b/walkloom/messages/settings.py
@@ -94,6 +94,10 @@
     # nothing is missed: on the simulator's wire, and where the list is pushed.
     max_list_age_ms: float = math.inf
 
+    # The process may be held up so long between a byte's arrival and its reading, and again between the last
+    # look at the clock and a byte's departure. 0 where events carry their own time.
+    max_hold_up_ms: float = 0.0
+
     # A final answer so long after the deadline still counts.
     answer_grace_ms: float = 0.0
 
--- a/walkloom/policy/endpoint_selection.py
+++ b/walkloom/policy/endpoint_selection.py
@@ -35,8 +35,9 @@
 
 
 def is_within_drain_grace(state: BalancerState, endpoint: EndpointState) -> bool:
-    """Departure: rule 3 ends the draining tier at the grace, less the time of two rounds of events."""
-    grace_started_after = state.now - state.settings.drain_grace_ms + 2 * state.settings.tick_ms
+    """Departure: rule 3 ends the draining tier at the grace, less what delays its notice and a send."""
+    margin_ms = 2 * (state.settings.tick_ms + state.settings.max_hold_up_ms)
+    grace_started_after = state.now - state.settings.drain_grace_ms + margin_ms
     return endpoint.drain_notified_at == READY or endpoint.drain_notified_at > grace_started_after
 
 
--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -9,9 +9,6 @@
 from walkloom.messages.events import EndpointListUpdate, ListFailure
 from walkloom.state import BalancerState
 
-# The process may be held up so long between a byte's arrival and its reading, and again between the last look
-# at the clock and a byte's departure.
-MAX_HOLD_UP_MS = 150.0
 # Discovery counts as down all the time between two looks that are no further apart.
 MAX_UNOBSERVED_MS = 1200.0
 # A failed call makes the time that the settings give for asking so many times as long. The platform's rule.
@@ -71,4 +68,4 @@
 
 
 def _grace_ms(state: BalancerState) -> float:
-    return max(state.settings.drain_grace_ms - 2 * MAX_HOLD_UP_MS, 0.0)
+    return max(state.settings.drain_grace_ms - 2 * state.settings.max_hold_up_ms, 0.0)
