Leave out entries of the list whose figures no endpoint has

A list with "cell":"inf" raised OverflowError, which neither codec nor watcher caught, so that by reading it ended the program; "weight":"nan", negative and huge figures reached the policy, where sums of them are no numbers.

Each figure of an entry has to lie between 0 and 1e15, or the entry is left out alone; a generation that is no number, or negative, makes the list malformed.

--- a/tests/discovery/test_codec.py
+++ b/tests/discovery/test_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 
 import orjson
@@ -70,6 +71,20 @@
     assert message.startswith("discovery_entries_invalid count=2 last=")
 
 
+@pytest.mark.parametrize("figure", ["inf", "-inf", "nan", "-1", -1, 1e300, "1e999"])
+@pytest.mark.parametrize("key", ["cell", "weight", "startedAtMs"])
+def test_a_figure_that_no_endpoint_has_leaves_its_entry_out_alone(key: str, figure: object) -> None:
+    bad = {**MINIMAL_ENTRY, "instanceId": "b", key: figure}
+    assert [endpoint.id for endpoint in decode(body(bad, MINIMAL_ENTRY), NAMES).update.endpoints] == ["a"]
+
+
+@pytest.mark.parametrize("generation", ["inf", "nan", -1, None, [], 10**400])
+def test_a_generation_that_is_no_number_makes_the_list_malformed(generation: object) -> None:
+    text = json.dumps({"generation": generation, "reset": True, "instances": []})
+    with pytest.raises(MalformedEndpointListError):
+        decode(text.encode(), NAMES)
+
+
 def test_an_empty_list_is_a_list() -> None:
     assert decode(body(), NAMES).update == EndpointListUpdate(UpdateKind.SNAPSHOT)
 
--- a/walkloom/discovery/codec.py
+++ b/walkloom/discovery/codec.py
@@ -25,7 +25,10 @@
 LIFECYCLES = {"up": Lifecycle.READY, "draining": Lifecycle.DRAINING, "removed": Lifecycle.REMOVED}
 
 # What an entry or a list in another form raises while it is read.
-_FORM_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_FORM_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
+# Larger numbers in an entry are no figure of any endpoint; sums and squares of them stay finite.
+MAX_NUMBER = 1e15
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +66,8 @@
         data = orjson.loads(body)
         endpoints, addresses = _decode_entries(data["instances"], names)
         generation = int(data["generation"])
+        if generation < 0:
+            raise ValueError(f"generation {generation}")
         kind = UpdateKind.SNAPSHOT if data["reset"] else UpdateKind.INCREMENTAL
     except _FORM_ERRORS as error:
         raise MalformedEndpointListError(error) from error
@@ -108,11 +113,14 @@
 
 
 def _number(entry: dict[str, Any], key: str, default: float) -> float:
-    """Return the number under an optional key."""
+    """Return the number under an optional key; raises ValueError where it is none from 0 to MAX_NUMBER."""
     value = entry.get(key)
     if value is None:
         return default
-    return float(value)
+    number = float(value)
+    if not 0.0 <= number <= MAX_NUMBER:  # nan is not either
+        raise ValueError(f"{key}: {value!r}")
+    return number
 
 
 def _index(names: tuple[str, ...], name: object) -> int:
