Keep the address of an endpoint that one update removes and lists again

Where an incremental list named an endpoint as removed and then as up, its address was dropped after the new one had been taken over, and every attempt there failed as not connected. The last entry of an endpoint now decides.

--- a/tests/discovery/test_address_book.py
+++ b/tests/discovery/test_address_book.py
@@ -23,6 +23,17 @@
     assert AddressBook().lookup("a") is None
 
 
+def test_an_endpoint_removed_and_listed_again_in_one_update_keeps_its_new_address() -> None:
+    address_book = book_with_a_and_b()
+    removed = Endpoint("a", lifecycle=Lifecycle.REMOVED)
+    address_book.apply(
+        EndpointListUpdate(UpdateKind.INCREMENTAL, (removed, Endpoint("a"))), {"a": ADDRESS_MOVED}
+    )
+    assert address_book.lookup("a") == ADDRESS_MOVED
+    address_book.apply(EndpointListUpdate(UpdateKind.INCREMENTAL, (Endpoint("a"), removed)), {"a": ADDRESS_A})
+    assert address_book.lookup("a") is None
+
+
 def test_an_incremental_update_changes_only_what_it_names() -> None:
     address_book = book_with_a_and_b()
     update = EndpointListUpdate(UpdateKind.INCREMENTAL, (Endpoint("b"),))
--- a/walkloom/discovery/address_book.py
+++ b/walkloom/discovery/address_book.py
@@ -24,7 +24,9 @@
             self._addresses = dict(addresses)
 
     def _merge(self, update: EndpointListUpdate, addresses: dict[EndpointId, SocketAddress]) -> None:
+        # Of several entries of one endpoint the last holds.
+        lifecycles = {endpoint.id: endpoint.lifecycle for endpoint in update.endpoints}
         self._addresses |= addresses
-        for endpoint in update.endpoints:
-            if endpoint.lifecycle is Lifecycle.REMOVED:
-                self._addresses.pop(endpoint.id, None)
+        for endpoint_id, lifecycle in lifecycles.items():
+            if lifecycle is Lifecycle.REMOVED:
+                self._addresses.pop(endpoint_id, None)
