Do not spin at the float at which a line's silence ends

The client's poll set the same alarm again without end where it was called at the very float at which the oldest line's time is over and the difference of the two times is rounded down. The comparison now uses the sum, by which the timer was set.

--- a/tests/client/test_established.py
+++ b/tests/client/test_established.py
@@ -95,6 +95,17 @@
     assert idle.state is SessionState.ESTABLISHED
 
 
+def test_a_poll_at_the_very_float_at_which_a_silence_ends_breaks_the_session() -> None:
+    harness = CoreHarness(silence_ms=2500)
+    session = harness.established()
+    harness.now = 14761.534776674447
+    harness.send(session, "a")
+    harness.now = 17261.534776674445
+    assert harness.now - 14761.534776674447 < 2500  # although no less was waited
+    harness.core.poll(harness.now)
+    assert session.state is not SessionState.ESTABLISHED
+
+
 @pytest.mark.parametrize("data", [b"x" * 5000, b"UP " + b"y" * 5000 + b"\r\n", b"\xff\xfe\r\n", b"a\0b\r\n"])
 @pytest.mark.parametrize("is_established", [False, True])
 def test_malformed_data_ends_the_session_with_a_clear_error(data: bytes, is_established: bool) -> None:
--- a/walkloom/client/established.py
+++ b/walkloom/client/established.py
@@ -66,13 +66,15 @@
 
     def timer_fired(self, session: Session, now: float) -> None:
         """Break the session if its oldest line has been unanswered for too long."""
-        silence_ms = self._context.limits.silence_ms
         sent_at = session.oldest_unanswered_at()
-        if now - sent_at >= silence_ms:
+        # The sum, as the timer was set: the difference may be rounded below the limit, and the timer be due
+        # at once for ever.
+        due_at = sent_at + self._context.limits.silence_ms
+        if now >= due_at:
             self._context.disconnect(session)
             self._reconnects.connection_lost(session, now, f"a line had no answer for {now - sent_at:.0f} ms")
         else:
-            self._context.timers.schedule(session, sent_at + silence_ms)
+            self._context.timers.schedule(session, due_at)
 
     def _protocol_error(self, session: Session, error: ProtocolError, now: float) -> None:
         """The peer speaks something else: the session ends, a reconnect would only bring more of it."""
