Name the line of an import whose URL or weight cannot be read

A member URL such as http://[::1 ended the import with a traceback, and weights that are no number of a server (nan, inf, negative) went into the list. Both are now errors that name the line.

--- a/tests/importers/test_mod_jk.py
+++ b/tests/importers/test_mod_jk.py
@@ -49,6 +49,7 @@
     [
         ("worker.list", "line 1: not key=value"),
         ("worker.list=a\nworker.a.port=x", "line 2: worker a"),
+        ("worker.list=a\nworker.a.lbfactor=inf", "line 2: worker a"),
         ("worker.list=a\nworker.a.reference=worker.a", "refers to itself"),
     ],
 )
--- a/walkloom/importers/apache.py
+++ b/walkloom/importers/apache.py
@@ -6,7 +6,7 @@
 from urllib.parse import SplitResult, urlsplit
 
 from walkloom.importers.logical_lines import logical_lines
-from walkloom.importers.model import ImportedList, ImportedServer, UnreadableLineError
+from walkloom.importers.model import ImportedList, ImportedServer, UnreadableLineError, parse_weight
 
 # Ports of members whose URL names none, by scheme.
 DEFAULT_PORTS = {"http": 80, "https": 443, "ajp": 8009, "ws": 80, "wss": 443, "h2": 443, "h2c": 80}
@@ -56,11 +56,11 @@
     if not arguments:
         raise UnreadableLineError(line_number, "BalancerMember without a URL")
     address = arguments[0]
-    url = urlsplit(address)
     parameters = _parse_parameters(arguments[1:])
     try:
+        url = urlsplit(address)
         port = _port(url)
-        weight = float(parameters.pop("loadfactor", "1"))
+        weight = parse_weight(parameters.pop("loadfactor", "1"))
     except (KeyError, ValueError) as error:
         raise UnreadableLineError(line_number, f"cannot read {address!r}") from error
     if not url.hostname:
--- a/walkloom/importers/mod_jk.py
+++ b/walkloom/importers/mod_jk.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass, field
 
 from walkloom.importers.logical_lines import logical_lines
-from walkloom.importers.model import ImportedList, ImportedServer, UnreadableLineError, WorkerReferenceError
+from walkloom.importers.model import (
+    ImportedList,
+    ImportedServer,
+    UnreadableLineError,
+    WorkerReferenceError,
+    parse_weight,
+)
 
 # Types of workers that are servers; others balance, or show a status.
 SERVER_TYPES = ("ajp13", "ajp14")
@@ -126,7 +132,7 @@
     activation = worker.get("activation", ACTIVE).upper()[:1]
     try:
         port = int(worker.get("port", DEFAULT_PORT))
-        weight = float(worker.get("lbfactor", "1"))
+        weight = parse_weight(worker.get("lbfactor", "1"))
     except ValueError as error:
         raise UnreadableLineError(properties.first_line_of(name), f"worker {name}: {error}") from error
     return ImportedServer(
--- a/walkloom/importers/model.py
+++ b/walkloom/importers/model.py
@@ -64,6 +64,10 @@
         self.names = names
 
 
+# Far above what either program takes.
+MAX_WEIGHT = 1e6
+
+
 @dataclass(frozen=True, slots=True)
 class ImportedServer:
     """One server of another balancer's list."""
@@ -99,6 +103,14 @@
     warnings: tuple[str, ...]
 
 
+def parse_weight(text: str) -> float:
+    """Return a server's weight; raises ValueError where it is no number from 0 to MAX_WEIGHT."""
+    weight = float(text)
+    if not 0.0 <= weight <= MAX_WEIGHT:  # nan is not either
+        raise ValueError(f"not a weight: {text!r}")
+    return weight
+
+
 def to_discovery_form(servers: tuple[ImportedServer, ...]) -> dict[str, object]:
     """Return the servers as a whole list in discovery's form, without those that are stopped.
 
