Add lab soak: seeded faults, a verdict for each seed, a timeline for each violation

The checker reads only the history. Two faults of the stand-ins themselves, seen on seeds 1 and 5, are mended: a client's reset ended the run, and a change was written to a watch whose process had been killed.

--- a/walkloom/cli/lab.py
+++ b/walkloom/cli/lab.py
@@ -134,6 +134,25 @@
     sys.exit(1 if violations else 0)
 
 
+@command.command("soak")
+@click.option("--seed", default=1, show_default=True, help="The first seed.")
+@click.option("--runs", default=1, show_default=True, type=click.IntRange(1, 1000), help="Seeds in a row.")
+@click.option("--parallel", default=2, show_default=True, type=click.IntRange(1, 16), help="Runs at a time.")
+@click.option("--small", is_flag=True, help="Three processes and fewer requests a run, as CI plays it.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write a timeline of each violation there.")
+def soak(seed: int, runs: int, parallel: int, small: bool, report: str | None) -> None:
+    """Real balancers under seeded faults, checked by what the stand-ins saw: a verdict for each seed.
+
+    The same seed gives the same deployment, clients and faults. Exit code 1: a rule was broken.
+    """
+    from walkloom.lab.soak.campaign import run_seeds
+
+    seeds = range(seed, seed + runs)
+    folder = Path(report) if report else None
+    violation_count = run_seeds(seeds, parallel=parallel, small=small, folder=folder, tell=click.echo)
+    sys.exit(1 if violation_count else 0)
+
+
 def _table_row(cells: Sequence[str]) -> str:
     return "| " + " | ".join(cells) + " |"
 
--- a/walkloom/lab/soak/client.py
+++ b/walkloom/lab/soak/client.py
@@ -84,20 +84,22 @@
         self._history = history
         self._last_line = ""
         self._has_left = False
+        self._was_reset = False
 
     async def run(self) -> None:
         """Send the request, read the answer, and use the connection."""
-        by_reset = False
         try:
             if await self._send_request() and await self._read_answer():
                 await self._use_connection()
         except trio.BrokenResourceError:
-            by_reset = True
+            self._was_reset = True
         except LineError:
             self._last_line = "a line of over 4096 bytes"
         if not self._has_left:
             now = trio.current_time()
-            self._history.add(ClientConnectionEnded(now, self._plan.request, self._last_line, by_reset))
+            self._history.add(
+                ClientConnectionEnded(now, self._plan.request, self._last_line, self._was_reset)
+            )
 
     async def _send_request(self) -> bool:
         """Send the request line; False where this client sends none."""
@@ -151,7 +153,10 @@
         with trio.move_on_after(self._plan.lifetime_s):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_lines)
-                await self._read_lines()
+                try:
+                    await self._read_lines()
+                except trio.BrokenResourceError:
+                    self._was_reset = True
                 nursery.cancel_scope.cancel()
             return
         self._leave()
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -248,8 +248,8 @@
         if self.mode is DiscoveryMode.CROWDED and not await self._wait_in_queue():
             return await self._refuse(gate, connection)
         index = int(match[1]) if match[1] else None
-        if index is not None:
-            await self._hold(connection, index, int(match[2]) / 1000.0)
+        if index is not None and not await self._hold_while_open(connection, index, int(match[2]) / 1000.0):
+            return False
         return await self._answer(gate, connection, index)
 
     async def _wait_in_queue(self) -> bool:
@@ -263,6 +263,24 @@
         await trio.sleep(self._queue_free_at - now)
         return True
 
+    async def _hold_while_open(self, connection: _Connection, index: int, wait_s: float) -> bool:
+        """Hold a call; False where the balancer ends the connection meanwhile."""
+        is_open = True
+
+        async def watch_for_end() -> None:
+            nonlocal is_open
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while await connection.stream.receive_some(RECEIVE_BYTES):
+                    pass
+            is_open = False
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_for_end)
+            await self._hold(connection, index, wait_s)
+            nursery.cancel_scope.cancel()
+        return is_open
+
     async def _hold(self, connection: _Connection, index: int, wait_s: float) -> None:
         """Wait for a change after a generation, a fault that ends the watch, or the end of its time."""
         with trio.move_on_after(wait_s):
