Check a server's claimed start against the lists, so that a stepped clock misleads nobody

A start cannot lie in the future, nor long before the newest list that did not have it: such a claim now counts from when it is seen. A claim that changes to an earlier time is a restart, too; one that becomes 0 (long ago) is none. What cannot be checked: a balancer whose own clock is ahead as it starts takes the first list at its word.

--- a/tests/state/test_endpoint_table.py
+++ b/tests/state/test_endpoint_table.py
@@ -6,7 +6,7 @@
 from walkloom.messages import Endpoint, EndpointListUpdate, Lifecycle, UpdateKind
 from walkloom.state import LONG_AGO, READY, EndpointTable
 
-NOW = 100_000.0
+NOW = 100_000_000.0
 
 
 def table(*lines: Endpoint, **changes: object) -> EndpointTable:
@@ -99,3 +99,44 @@
     made.outdate()
     assert [endpoint.id for endpoint in made.tier().local.endpoints] == ["a"]
     assert [endpoint.id for endpoint in made.ejected] == ["b"]
+
+
+HOUR_MS = 3_600_000.0
+
+
+def restart(made: EndpointTable, claimed_at: float, seen_at: float) -> float:
+    """List a restart of `a`; return the start that counts."""
+    made.apply(incremental(Endpoint("a", started_at=claimed_at)), seen_at)
+    return made.by_id["a"].started_at
+
+
+def test_a_start_claimed_by_a_clock_that_is_ahead_counts_from_when_it_is_seen() -> None:
+    made = table(Endpoint("a", started_at=NOW - 60_000.0))
+    assert restart(made, NOW + HOUR_MS, NOW + 10.0) == NOW + 10.0
+    # The same claim again is no other start.
+    assert restart(made, NOW + HOUR_MS, NOW + 5000.0) == NOW + 10.0
+
+
+def test_a_start_claimed_by_a_clock_that_is_behind_is_cold_all_the_same() -> None:
+    made = table(Endpoint("a", started_at=NOW - 60_000.0))
+    assert restart(made, NOW - HOUR_MS, NOW + 10.0) == NOW + 10.0
+    made.apply(incremental(Endpoint("b", started_at=NOW - HOUR_MS)), NOW + 20.0)
+    assert made.by_id["b"].started_at == NOW + 20.0
+
+
+def test_a_start_that_is_listed_late_keeps_its_time() -> None:
+    made = table(Endpoint("a", started_at=NOW - 60_000.0))
+    assert restart(made, NOW - 9000.0, NOW + 10.0) == NOW - 9000.0
+
+
+def test_a_start_that_becomes_long_ago_is_no_restart() -> None:
+    made = table(Endpoint("a", started_at=NOW - 60_000.0))
+    made.by_id["a"].failure_rate = 0.5
+    assert restart(made, 0.0, NOW + 10.0) == 0.0
+    assert made.by_id["a"].failure_rate == 0.5
+
+
+def test_the_first_list_is_taken_at_its_word_but_for_the_future() -> None:
+    made = table(Endpoint("a", started_at=NOW - HOUR_MS), Endpoint("b", started_at=NOW + HOUR_MS))
+    assert made.by_id["a"].started_at == NOW - HOUR_MS
+    assert made.by_id["b"].started_at == NOW
--- a/walkloom/state/__init__.py
+++ b/walkloom/state/__init__.py
@@ -4,6 +4,7 @@
 - `endpoint_table`, `request_table`: the endpoints and the requests that are known, by their ids
 - `endpoint`, `request`: what is known of one endpoint and of one request
 - `endpoint_pool`, `stable_hash`: endpoints of one tier, ranked for an affinity group by rendezvous hashing
+- `start_time`: when an endpoint started, by what the list claims
 - `load_estimator`: the loads of connections, relative to the mean of those reported
 - `list_lease`: until when the endpoint list may be used
 - `timers`: the timers that the policy starts
--- a/walkloom/state/endpoint.py
+++ b/walkloom/state/endpoint.py
@@ -30,7 +30,10 @@
     zone: int
     cell: int
     lifecycle: Lifecycle
+    # When its process started, as far as the list's claim is plausible; 0: long ago.
     started_at: float
+    # What the list claims of that.
+    claimed_start: float
     # The same at all balancers, for rendezvous hashing.
     hash: int
 
@@ -76,14 +79,15 @@
     trial_backoff_ms: float = 0.0
 
     @classmethod
-    def from_list(cls, endpoint: Endpoint) -> EndpointState:
-        """An endpoint that the list names for the first time."""
+    def from_list(cls, endpoint: Endpoint, started_at: float | None = None) -> EndpointState:
+        """An endpoint that the list names for the first time; started_at: ms; None: as it claims."""
         return cls(
             id=endpoint.id,
             zone=endpoint.zone,
             cell=endpoint.cell,
             lifecycle=endpoint.lifecycle,
-            started_at=endpoint.started_at,
+            started_at=endpoint.started_at if started_at is None else started_at,
+            claimed_start=endpoint.started_at,
             hash=stable_hash(endpoint.id),
         )
 
--- a/walkloom/state/endpoint_table.py
+++ b/walkloom/state/endpoint_table.py
@@ -5,6 +5,8 @@
 from walkloom.messages import Endpoint, EndpointId, EndpointListUpdate, Lifecycle, Settings, UpdateKind
 from walkloom.state.endpoint import READY, EndpointState
 from walkloom.state.endpoint_pool import EndpointPool, Tier
+from walkloom.state.list_lease import NEVER
+from walkloom.state.start_time import plausible_start
 
 _MIN_WEIGHT = 1e-6  # keeps divisions by a weight defined
 
@@ -15,6 +17,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._has_list = False
+        self._listed_at = -NEVER  # when the newest list came, ms
         self._usable = Tier(EndpointPool([]), EndpointPool([]))
         self._is_outdated = True
         self.by_id: dict[EndpointId, EndpointState] = {}
@@ -55,6 +58,7 @@
                 if endpoint.id not in listed:
                     self._set_lifecycle(endpoint, Lifecycle.REMOVED, now)
         self._has_list = True
+        self._listed_at = now
         return any_drains
 
     def _apply_line(self, line: Endpoint, now: float) -> bool:
@@ -63,12 +67,14 @@
             if line.lifecycle is Lifecycle.REMOVED:
                 return False
             endpoint = self._add(line, now)
-        elif line.started_at > endpoint.started_at or _is_back(endpoint, line):
+        elif _has_restarted(endpoint, line) or _is_back(endpoint, line):
             endpoint.forget_process(now)
             self._is_outdated = True
+        if line.started_at != endpoint.claimed_start:
+            endpoint.claimed_start = line.started_at
+            endpoint.started_at = plausible_start(line.started_at, self._listed_at, now)
         endpoint.zone = line.zone
         endpoint.cell = line.cell
-        endpoint.started_at = line.started_at
         weight = max(line.capacity_weight, _MIN_WEIGHT)
         if self._settings.weights_follow_load:
             endpoint.spare_weight = weight  # says nothing of the endpoint's size
@@ -77,7 +83,7 @@
         return self._set_lifecycle(endpoint, line.lifecycle, now)
 
     def _add(self, line: Endpoint, now: float) -> EndpointState:
-        endpoint = EndpointState.from_list(line)
+        endpoint = EndpointState.from_list(line, plausible_start(line.started_at, self._listed_at, now))
         self.by_id[line.id] = endpoint
         self._is_outdated = True
         if self._has_list:
@@ -101,5 +107,10 @@
         return lifecycle is Lifecycle.DRAINING
 
 
+def _has_restarted(endpoint: EndpointState, line: Endpoint) -> bool:
+    """Whether the list claims another start; an earlier one, too, as its clock may have been stepped."""
+    return line.started_at > 0 and line.started_at != endpoint.claimed_start
+
+
 def _is_back(endpoint: EndpointState, line: Endpoint) -> bool:
     return endpoint.lifecycle is Lifecycle.REMOVED and line.lifecycle is Lifecycle.READY
