--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -11,6 +11,7 @@
 MAX_BACKOFF_DOUBLINGS = 10
 MAX_PAUSE_WHILE_DOWN_MS = 800.0  # a discovery that refuses at once is asked so often, which costs it little
 MAX_PAUSE_IF_OVERLOADED_MS = 30_000.0
+STEADY_CALLS_IF_OVERLOADED = 4  # so many pauses are alike before they double
 QUEUE_MARGIN = 1.25  # discovery is asked for so much less than it was seen to answer
 DISCOVERY_CALL_MS = 250.0  # what discovery takes for one call, until one was seen
 DISCOVERY_QUEUE_MS = 2000.0  # calls that wait for less are no burden
@@ -81,8 +82,9 @@
     queue_ms = QUEUE_MARGIN * state.settings.balancer_count * lease.call_ms
     if event.failure is ListFailure.OVERLOADED:
         limit_ms = max(MAX_PAUSE_IF_OVERLOADED_MS, 2.0 * queue_ms)
-        # the second such call comes no slower: one that is down may answer so, too
-        return min(max(event.call_ms, queue_ms) * 2.0 ** max(doublings - 1, 0), limit_ms)
+        # the first such calls come no slower: a discovery that is down may answer so, too
+        slower = 2.0 ** max(doublings - STEADY_CALLS_IF_OVERLOADED + 1, 0)
+        return min(max(event.call_ms, queue_ms) * slower, limit_ms)
     limit_ms = LEASE_SHARE * list_lease.remaining_ms(state)
     if not list_lease.is_valid(state):
         limit_ms = state.settings.max_list_age_ms
