Tell a refused connection to discovery from other failures to connect

So the lease ran out although discovery was seen to be down, and new requests were rejected after 6 s of an outage.

--- /dev/null
+++ b/tests/discovery/test_call_outcome.py
@@ -0,0 +1,47 @@
+"""What a failed call tells of discovery."""
+
+from __future__ import annotations
+
+import pytest
+
+from walkloom.discovery.call_outcome import EndedCall
+from walkloom.discovery.errors import (
+    CallStalledError,
+    ConnectRefusedError,
+    ConnectTimeoutError,
+    MalformedEndpointListError,
+    ResponseIncompleteError,
+    ResponseStatusError,
+)
+from walkloom.messages import ListFailure
+
+PROMPT_S = 0.01
+LATE_S = 2.0
+
+
+@pytest.mark.parametrize(
+    ("error", "duration_s", "failure"),
+    [
+        (ConnectRefusedError("h", 1), PROMPT_S, ListFailure.UNREACHABLE),
+        (ResponseStatusError(503), PROMPT_S, ListFailure.UNREACHABLE),
+        (ResponseStatusError(503), LATE_S, ListFailure.OVERLOADED),
+        (ResponseStatusError(404), PROMPT_S, ListFailure.UNANSWERED),
+        (ResponseIncompleteError(0), PROMPT_S, ListFailure.UNREACHABLE),
+        (ResponseIncompleteError(0), LATE_S, ListFailure.UNANSWERED),
+        (ResponseIncompleteError(40), PROMPT_S, ListFailure.UNANSWERED),
+        (MalformedEndpointListError(ValueError()), PROMPT_S, ListFailure.UNANSWERED),
+        (ConnectTimeoutError("h", 1), 1.0, ListFailure.UNANSWERED),
+        (CallStalledError(), LATE_S, ListFailure.UNANSWERED),
+        (OSError(24, "no descriptor here"), PROMPT_S, ListFailure.UNANSWERED),
+    ],
+)
+def test_only_a_prompt_refusal_shows_that_discovery_is_down(
+    error: Exception, duration_s: float, failure: ListFailure
+) -> None:
+    assert EndedCall(error, duration_s, continues_watch=False).failure is failure
+
+
+def test_a_watch_counts_as_open_until_discovery_itself_ends_it() -> None:
+    assert EndedCall(ResponseIncompleteError(0), LATE_S, continues_watch=True).ended_watch
+    assert not EndedCall(ResponseIncompleteError(0), LATE_S, continues_watch=False).ended_watch
+    assert not EndedCall(CallStalledError(), LATE_S, continues_watch=True).ended_watch
--- a/tests/discovery/test_http_connection.py
+++ b/tests/discovery/test_http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
@@ -9,7 +10,12 @@
 import pytest
 import trio
 
-from walkloom.discovery.errors import ResponseStatusError, ResponseTooLargeError, UnsolicitedResponseError
+from walkloom.discovery.errors import (
+    ConnectRefusedError,
+    ResponseStatusError,
+    ResponseTooLargeError,
+    UnsolicitedResponseError,
+)
 from walkloom.discovery.http_connection import MAX_BODY_BYTES, DiscoveryConnection
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
@@ -109,3 +115,10 @@
         assert caught.value.data == b"HTTP/1.1 200 OK\r\n"
 
     with_discovery(use)
+
+
+def test_a_port_on_which_nobody_listens_is_a_refusal() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+    with pytest.raises(ConnectRefusedError):
+        trio.run(DiscoveryConnection.open, address)
--- a/walkloom/discovery/http_connection.py
+++ b/walkloom/discovery/http_connection.py
@@ -68,7 +68,7 @@
             with trio.move_on_after(CONNECT_TIMEOUT_S):
                 return cls(await trio.open_tcp_stream(host, port), address)
         except OSError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
+            if _is_refusal(error.__cause__):
                 raise ConnectRefusedError(host, port) from error
             raise
         raise ConnectTimeoutError(host, port)
@@ -140,3 +140,10 @@
         head = self._http.send(request) or b""
         end = self._http.send(h11.EndOfMessage()) or b""
         return head + end
+
+
+def _is_refusal(error: BaseException | None) -> bool:
+    """Whether all addresses that were tried refused; trio groups the errors of several attempts."""
+    if isinstance(error, BaseExceptionGroup):
+        return all(_is_refusal(inner) for inner in error.exceptions)
+    return isinstance(error, ConnectionRefusedError)
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -60,6 +60,7 @@
 # In these discovery is down. Silence and spoilt answers excuse nobody: what a balancer misses then counts as
 # notified all the same.
 DOWN_MODES = (DiscoveryMode.REFUSING, DiscoveryMode.UNAVAILABLE)
+PUSHED_DOWN_MODES = (*DOWN_MODES, DiscoveryMode.SILENT)
 
 
 @dataclass
@@ -111,9 +112,14 @@
 class FaultyDiscovery:
     """The registry of a run."""
 
-    def __init__(self, host: str, history: History, nursery: trio.Nursery) -> None:
-        """The listeners run in the nursery, on ports of the host."""
+    def __init__(self, host: str, history: History, nursery: trio.Nursery, *, is_pushed: bool) -> None:
+        """The listeners run in the nursery, on ports of the host.
+
+        is_pushed: it is the agent of a pushed list, which learns nothing while it is silent.
+        """
         self._host = host
+        self._down_modes = PUSHED_DOWN_MODES if is_pushed else DOWN_MODES
+        self._mode_lock = trio.Lock()
         self.mode = DiscoveryMode.HEALTHY
         # Whole lists are sent in place of changes.
         self.sends_snapshots = False
@@ -161,8 +167,12 @@
 
     async def set_mode(self, mode: DiscoveryMode) -> None:
         """Change what becomes of calls, for all balancers."""
+        async with self._mode_lock:
+            await self._set_mode(mode)
+
+    async def _set_mode(self, mode: DiscoveryMode) -> None:
         self.mode = mode
-        reachable = mode not in DOWN_MODES
+        reachable = mode not in self._down_modes
         for gate in self._gates.values():
             self._history.add(DiscoveryReachable(trio.current_time(), gate.balancer, reachable))
             if mode is DiscoveryMode.REFUSING and gate.listener:
--- a/walkloom/lab/soak/runner.py
+++ b/walkloom/lab/soak/runner.py
@@ -128,7 +128,9 @@
 
     def _start_stand_ins(self) -> None:
         deployment = self._plan.deployment
-        self._discovery = FaultyDiscovery(self._host, self.history, self._nursery)
+        self._discovery = FaultyDiscovery(
+            self._host, self.history, self._nursery, is_pushed=deployment.is_pushed
+        )
         for number in range(deployment.server_count):
             zone = deployment.zones[number % len(deployment.zones)]
             server = RecordingServer(f"s-{number}", self._host, self.history, self._nursery)
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -18,6 +18,8 @@
 SERVER_COUNT = 8
 DRAINED = tuple(range(SERVER_COUNT // 2))
 FAULT_AT_S = 1.0
+# All balancers have called once, however many there are.
+AFTER_FIRST_CALLS_S = 4.0
 # Late work shows within the longest pause that was seen.
 DURATION_S = 12.0
 
@@ -80,6 +82,9 @@
     "discovery_refuses_for_a_second": lambda: _plan(
         _deployment(), _mode(DiscoveryMode.REFUSING), _mode(HEALTHY, FAULT_AT_S + 1.0)
     ),
+    "discovery_refuses_until_the_end": lambda: _plan(
+        _deployment(), _mode(DiscoveryMode.REFUSING, AFTER_FIRST_CALLS_S), drain_at=AFTER_FIRST_CALLS_S + 1.0
+    ),
     "discovery_unavailable_across_the_drain": lambda: _plan(
         _deployment(),
         _mode(DiscoveryMode.UNAVAILABLE),
