Confirm the list by the first call over each connection, which is not held

The first call over a connection now has wait=0 and is answered at once; the watch follows on the same connection within 0.2 s.

--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -160,7 +160,8 @@
         previous_was_premature = False
         while connection.is_reusable:
             self._called_at = trio.current_time()
-            hold_ms = self._engine.watch_hold_ms()
+            # The first call over a connection is answered at once, which confirms the list.
+            hold_ms = self._engine.watch_hold_ms() if self._continues_watch else 0.0
             received = await self._fetch(connection, hold_ms)
             if received is None:
                 return
