--- /dev/null
+++ b/tests/soak_plants/plants.py
@@ -0,0 +1,150 @@
+"""The planted faults: a change of one place each, and the rule that it breaks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Plant:
+    """One fault."""
+
+    name: str
+
+    # Below `walkloom/`.
+    file: str
+
+    # A text that the file has once, and what replaces it.
+    old: str
+    new: str
+
+
+PLANTS = (
+    Plant(
+        "the list is used whatever its age",
+        "policy/list_lease.py",
+        "return state.now < state.list_lease.expires_at",
+        "return True",
+    ),
+    Plant(
+        "a failed call renews the lease",
+        "policy/list_lease.py",
+        "    lease.failures += 1\n",
+        "    lease.failures += 1\n    _extend(state, state.now, 6000.0)\n",
+    ),
+    Plant(
+        "a pushed list's agent is called after seconds",
+        "policy/endpoint_watch.py",
+        "return PUSHED_PAUSE_SHARE * state.settings.drain_grace_ms * share",
+        "return 4000.0",
+    ),
+    Plant(
+        "a drain is not taken over",
+        "discovery/codec.py",
+        '"draining": Lifecycle.DRAINING',
+        '"draining": Lifecycle.READY',
+    ),
+    Plant(
+        "a draining server counts as usable without end",
+        "policy/endpoint_selection.py",
+        "return endpoint.drain_notified_at == READY or endpoint.drain_notified_at > grace_started_after",
+        "return True",
+    ),
+    Plant(
+        "a snapshot that lacks a drain is taken for the newest",
+        "state/endpoint_table.py",
+        "            endpoint.drain_notified_at = now\n        return lifecycle",
+        "            endpoint.drain_notified_at = now + 4000.0\n        return lifecycle",
+    ),
+    Plant(
+        "the deadline counts 1 s later",
+        "frontends/line/request_lifecycle.py",
+        "engine.now() + request_line.patience_ms - ANSWER_MARGIN_MS",
+        "engine.now() + request_line.patience_ms + 1000.0",
+    ),
+    Plant(
+        "a rejected client is closed without an answer",
+        "frontends/line/connection_shutdown.py",
+        "        return BUSY_WITH_RETRY_AFTER % answer.retry_after_ms\n",
+        '        return b""\n',
+    ),
+    Plant(
+        "a failed client is closed without an answer",
+        "frontends/line/connection_shutdown.py",
+        "        return ERR\n",
+        '        return b""\n',
+    ),
+    Plant(
+        "a retry while the attempt before is out",
+        "frontends/line/upstream.py",
+        "        if not is_established:\n            await upstream.close()",
+        "        if not is_established:\n            pass",
+    ),
+    Plant(
+        "an attempt more than is allowed",
+        "config.py",
+        "replace(read_settings(reader), server_reports_latency=False,",
+        "replace(read_settings(reader), max_attempts=5, server_reports_latency=False,",
+    ),
+    Plant(
+        "a client that leaves is not noticed",
+        "frontends/line/request_lifecycle.py",
+        "        placement.client_sent_input = await client.wait_for_input()\n",
+        "        await trio.sleep_forever()\n",
+    ),
+    Plant(
+        "no MOVE at a shutdown",
+        "frontends/line/relay.py",
+        "        is_moved = self._is_migrating or ended_by_shutdown\n",
+        "        is_moved = False\n",
+    ),
+    Plant("a shutdown reckons with a later SIGKILL", "shutdown.py", "KILL_S = 0.7", "KILL_S = 3.0"),
+    Plant(
+        "the clock is read from the wall",
+        "engine/engine.py",
+        "        return self._clock_offset_ms + trio.current_time() * 1000.0",
+        "        return time.time() * 1000.0",
+    ),
+    Plant(
+        "lines are held back",
+        "frontends/line/relay.py",
+        "                for line in lines.splitlines():\n",
+        "                await trio.sleep(1.3)\n                for line in lines.splitlines():\n",
+    ),
+    Plant(
+        "a client that stops within its line is not ended",
+        "frontends/line/request_line.py",
+        "REQUEST_LINE_TIMEOUT_S = 2.0",
+        "REQUEST_LINE_TIMEOUT_S = 200.0",
+    ),
+    Plant(
+        "SIGHUP ends the program",
+        "__main__.py",
+        "        if number == signal.SIGHUP:\n            reload_config(conf, watcher)",
+        "        if number == signal.SIGHUP:\n            raise SystemExit(1)",
+    ),
+    Plant(
+        "a spoilt answer of discovery ends the program",
+        "discovery/watcher.py",
+        "except (DiscoveryError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:",
+        "except (OSError, trio.BrokenResourceError) as error:",
+    ),
+    Plant(
+        "the last look before sending is left out, and choices are old",
+        "engine/request_handle.py",
+        "        self.sending_started = self.engine.may_send(self.id, self.endpoint_id)\n",
+        "        self.sending_started = True\n",
+    ),
+    Plant(
+        "MOVE goes out within a line",
+        "frontends/line/relay.py",
+        "            while lines := await self._upstream.read_complete_lines():\n",
+        "            while lines := (await self._upstream.read_complete_lines())[:-3]:\n",
+    ),
+    Plant(
+        "the balancer is ready late",
+        "server.py",
+        "            await self.watcher.wait_until_ready()\n",
+        "            await trio.sleep(11.0)\n",
+    ),
+)
