--- a/tests/discovery/test_call_outcome.py
+++ b/tests/discovery/test_call.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from walkloom.discovery.call_outcome import EndedCall
+from walkloom.discovery.call import Call, EndedCall
 from walkloom.discovery.errors import (
     CallStalledError,
     ConnectRefusedError,
@@ -45,3 +45,9 @@
     assert EndedCall(ResponseIncompleteError(0), LATE_S, continues_watch=True).ended_watch
     assert not EndedCall(ResponseIncompleteError(0), LATE_S, continues_watch=False).ended_watch
     assert not EndedCall(CallStalledError(), LATE_S, continues_watch=True).ended_watch
+
+
+def test_what_a_first_call_took_beyond_its_hold_shows_discoverys_queue() -> None:
+    assert Call(10.0, hold_ms=500.0, continues_watch=False).queue_ms(10.75) == 250.0
+    assert Call(10.0, hold_ms=500.0, continues_watch=False).queue_ms(10.25) == 0.0
+    assert Call(10.0, hold_ms=500.0, continues_watch=True).queue_ms(10.75) == 0.0
--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -368,6 +368,7 @@
 
 EMPTY_UPDATE = '{"generation":4,"reset":false,"instances":[]}'
 ANSWER = f"HTTP/1.1 200 OK\\r\\nContent-Length: {len(EMPTY_UPDATE)}\\r\\n\\r\\n{EMPTY_UPDATE}"
+CLOSING_ANSWER = ANSWER.replace("OK\\r\\n", "OK\\r\\nConnection: close\\r\\n")
 EXPECT_WATCH = "expect GET /registry/instances?index=0&wait=0 HTTP/1.1\n"
 EXPECT_WHOLE_LIST = "expect GET /registry/instances HTTP/1.1\n"
 # An empty line reads as EOF does.
@@ -424,6 +425,20 @@
         {EXPECT_REST_OF_HEAD.format(1)}
         s1 part {ANSWER}
         after 90 s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+    "a discovery that closes after each answer is watched on": f"""
+        s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
+        s1 part {CLOSING_ANSWER}
+        s1 close
+        within 50 s2 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+    "one that closes, and holds no call, is asked at a pace, too": f"""
+        s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
+        s1 part {CLOSING_ANSWER}
+        s1 close
+        s2 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1
+        {EXPECT_REST_OF_HEAD.format(2)}
+        s2 part {CLOSING_ANSWER}
+        s2 close
+        after 90 s3 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
     "a change of discovery waits for no pause after failed calls, nor do those that follow": f"""
         s1 {EXPECT_WATCH} s1 reset
         s2 {EXPECT_WATCH} s2 reset
--- a/walkloom/discovery/call_outcome.py
+++ b/walkloom/discovery/call.py
@@ -1,4 +1,7 @@
-"""What an ended call tells of discovery: whether it is down, and until when it was watched. No I/O."""
+"""One call to discovery, and what its end tells: a queue, an outage, until when it was watched. No I/O.
+
+Times are seconds of trio's clock.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +15,32 @@
 MAX_REFUSAL_S = 0.25
 
 
+# A watch goes on where the next call comes so soon after the answer before; the platform allows 0.2 s.
+MAX_WATCH_GAP_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call that is out."""
+
+    started_at: float
+
+    # How long discovery may hold it; 0: it is answered at once.
+    hold_ms: float
+
+    # The answer before came right before, so that this call goes on with a watch.
+    continues_watch: bool
+
+    def queue_ms(self, answered_at: float) -> float:
+        """Return how long the call waited in discovery's queue; 0 where that is not known."""
+        beyond_hold_ms = (answered_at - self.started_at) * 1000.0 - self.hold_ms
+        return 0.0 if self.continues_watch else max(beyond_hold_ms, 0.0)
+
+    def ended(self, error: Exception, now: float) -> EndedCall:
+        """Return the call as one that brought no list."""
+        return EndedCall(error, now - self.started_at, self.continues_watch)
+
+
 @dataclass(frozen=True, slots=True)
 class EndedCall:
     """A call that brought no list."""
@@ -19,7 +48,7 @@
     error: Exception
     duration_s: float
 
-    # An answer came over the same connection right before, so that this call went on with a watch.
+    # As in Call.
     continues_watch: bool
 
     @property
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -14,8 +14,8 @@
 
 from walkloom.config import SettingNames
 from walkloom.discovery.address_book import AddressBook
+from walkloom.discovery.call import MAX_WATCH_GAP_S, Call
 from walkloom.discovery.call_log import CallLog
-from walkloom.discovery.call_outcome import EndedCall
 from walkloom.discovery.codec import EndpointListResponse, decode
 from walkloom.discovery.errors import CallStalledError, DiscoveryError
 from walkloom.discovery.http_connection import DiscoveryConnection, ReceivedList
@@ -49,11 +49,12 @@
         self._address_book = AddressBook()
         self._call_log = CallLog(trio.current_time())
 
-        # When the newest call began, trio's clock.
-        self._called_at = -math.inf
+        # The newest call, and when the newest answer came (trio's clock).
+        self._call = Call(-math.inf, 0.0, continues_watch=False)
+        self._answered_at = -math.inf
 
-        # The newest call goes on with a watch: an answer came over the same connection right before.
-        self._continues_watch = False
+        # The newest answer came at once and brought nothing.
+        self._was_premature = False
 
         # Version of the list that is held; None: the whole list is wanted, whatever its version.
         self._generation: int | None = 0
@@ -136,15 +137,14 @@
         """Make calls until one fails or discovery is changed; reconnect at once when a connection ends."""
         has_stalled = False
         while not self._calls.cancel_called:
-            self._called_at = trio.current_time()
-            self._continues_watch = False
+            self._begin_call()
             connection = await DiscoveryConnection.open(self._discovery)
             try:
                 await self._poll(connection)
             except CallStalledError:
                 # A watch that fell silent is opened anew without the pause after a failure: what it misses
                 # counts as received soon (rule 3). A new call that stalls, too, is a failed one.
-                is_first_stall = self._continues_watch or not has_stalled
+                is_first_stall = self._call.continues_watch or not has_stalled
                 if not (is_first_stall or self._list_is_pushed):
                     raise
                 has_stalled = True
@@ -157,34 +157,43 @@
 
         Raises CallStalledError.
         """
-        previous_was_premature = False
         while connection.is_reusable:
-            self._called_at = trio.current_time()
-            # The first call over a connection is answered at once, which confirms the list.
-            hold_ms = self._engine.watch_hold_ms() if self._continues_watch else 0.0
-            received = await self._fetch(connection, hold_ms)
+            self._begin_call()
+            received = await self._fetch(connection)
             if received is None:
                 return
             response = decode(received.body, self._names)
+            self._answered_at = trio.current_time()
             self._call_log.record_answer(
-                self._called_at, trio.current_time(), response.generation, len(response.update.endpoints)
+                self._call.started_at, self._answered_at, response.generation, len(response.update.endpoints)
             )
             # The list is sound even if bytes follow that are not, so that it comes into force first.
-            self._apply(response, self._confirmed_update(response, received, hold_ms))
+            self._apply(response, self._confirmed_update(response, received))
             connection.finish_call()
-            self._continues_watch = True
-            elapsed_s = trio.current_time() - self._called_at
-            is_premature = elapsed_s < MIN_EMPTY_CALL_INTERVAL_S and not response.update.endpoints
-            # A discovery that holds no call would otherwise be called in a busy loop. Only the second such
-            # response in a row delays the next call.
-            if is_premature and previous_was_premature:
-                await trio.sleep(MIN_EMPTY_CALL_INTERVAL_S)
-            previous_was_premature = is_premature
-
-    async def _fetch(self, connection: DiscoveryConnection, hold_ms: float) -> ReceivedList | None:
+            await self._pace_after(response)
+
+    def _begin_call(self) -> None:
+        """Note that a call begins: it goes on with a watch, or wants an answer at once as confirmation."""
+        now = trio.current_time()
+        continues_watch = now - self._answered_at <= MAX_WATCH_GAP_S
+        hold_ms = self._engine.watch_hold_ms() if continues_watch and self._generation is not None else 0.0
+        self._call = Call(now, hold_ms, continues_watch)
+
+    async def _pace_after(self, response: EndpointListResponse) -> None:
+        """Wait where discovery holds no call: it would be called in a busy loop.
+
+        Only the second such response in a row delays the next call, also one over another connection.
+        """
+        elapsed_s = trio.current_time() - self._call.started_at
+        is_premature = elapsed_s < MIN_EMPTY_CALL_INTERVAL_S and not response.update.endpoints
+        if is_premature and self._was_premature:
+            await trio.sleep(MIN_EMPTY_CALL_INTERVAL_S)
+        self._was_premature = is_premature
+
+    async def _fetch(self, connection: DiscoveryConnection) -> ReceivedList | None:
         """Make one call; None if discovery was changed meanwhile. Raises CallStalledError."""
         with trio.move_on_after(self._call_timeout_s()) as timeout:
-            received = await connection.fetch(self._generation, hold_ms)
+            received = await connection.fetch(self._generation, self._call.hold_ms)
         if timeout.cancelled_caught:
             raise CallStalledError
         if self._calls.cancel_called:
@@ -198,16 +207,11 @@
         agent_answers_at_once = self._list_is_pushed and self._generation is None
         return self._agent_timeout_s if agent_answers_at_once else CALL_TIMEOUT_S
 
-    def _confirmed_update(
-        self, response: EndpointListResponse, received: ReceivedList, hold_ms: float
-    ) -> EndpointListUpdate:
+    def _confirmed_update(self, response: EndpointListResponse, received: ReceivedList) -> EndpointListUpdate:
         """Return the response's update with what the call tells of the list's age and of discovery."""
-        elapsed_ms = (received.first_byte_at - self._called_at) * 1000.0
-        was_held_ms = 0.0 if self._generation is None else hold_ms
-        shows_queue = not self._continues_watch and elapsed_ms >= was_held_ms
         return response.update._replace(
             confirmed_at=self._engine_time(received.first_byte_at),
-            call_ms=elapsed_ms - was_held_ms if shows_queue else 0.0,
+            call_ms=self._call.queue_ms(received.first_byte_at),
         )
 
     def _engine_time(self, at: float) -> float:
@@ -227,8 +231,7 @@
 
     def _report_failure(self, error: Exception) -> None:
         """Log a failed call and hand the failure to the policy."""
-        now = trio.current_time()
-        ended = EndedCall(error, now - self._called_at, self._continues_watch)
+        ended = self._call.ended(error, trio.current_time())
         self._record_failure(str(error) or repr(error), stalled=isinstance(error, CallStalledError))
         self._engine.endpoint_list_updated(
             EndpointListUpdate(
@@ -242,7 +245,7 @@
     def _record_failure(self, error: str, *, stalled: bool = False) -> None:
         """Log a failed or stalled call; the last list stays in force."""
         self._call_log.record_failure(
-            self._called_at, trio.current_time(), error, self._engine.list_lease_ms(), stalled=stalled
+            self._call.started_at, trio.current_time(), error, self._engine.list_lease_ms(), stalled=stalled
         )
         if self._list_is_pushed:
             # An agent that speaks again sends the whole list at once, where it might hold a call for changes.
