Drop log lines that cannot be written at once, in place of waiting

A process with 300 endpoints in its list and a pipe of 4 KiB that nobody reads did not answer PING within 20 s.

Lines now go out without waiting: a pipe is opened anew as non-blocking, for this process alone; a line that does not fit is dropped and counted (log_lines_dropped).

--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -23,6 +23,7 @@
 from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.frontends.quic import settings as quic_settings
 from walkloom.frontends.quic.settings import QuicConfig
+from walkloom.log_output import NonBlockingLogHandler
 from walkloom.server import BalancerServer
 
 log = logging.getLogger("walkloom")
@@ -112,7 +113,7 @@
 def serve() -> int:
     """Run one balancer as this process until a signal ends it; return the exit status."""
     early_sighups = _collect_sighups()
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    logging.basicConfig(handlers=[NonBlockingLogHandler(sys.stderr.fileno())], level=logging.INFO)
     try:
         start = _load_start_config()
     except ConfigError as error:
