Outlast a shortage of memory in the kernel, and blame no server for a local error

Such a send or receive is made again after 10 ms, for a second at most; a connect that this machine cannot make is an attempt that was not sent.

--- a/walkloom/transport/line_stream.py
+++ b/walkloom/transport/line_stream.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import TypeVar
 
 import trio
 
 from walkloom.transport.address import SocketAddress
 
+T = TypeVar("T")
+
 # Longest line that the protocol allows, its CRLF included.
 MAX_LINE_BYTES = 4096
 
@@ -22,6 +27,23 @@
 # Bytes that may still come from the other side meanwhile, unread.
 MAX_DISCARDED_BYTES = 8 << 20
 
+# Errors of send() and recv() by which the kernel says that it lacks memory just now; the connection is sound.
+MEMORY_SHORTAGE_ERRNOS = (errno.ENOBUFS, errno.ENOMEM)
+
+# How often such a call is repeated, and the pause before: it may last for a second.
+MEMORY_SHORTAGE_RETRIES = 100
+MEMORY_SHORTAGE_PAUSE_S = 0.01
+
+# Errors of connect() that tell of this machine, and nothing of the one that is connected to.
+LOCAL_CONNECT_ERRNOS = (
+    errno.EADDRNOTAVAIL,
+    errno.EAGAIN,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+)
+
 # SO_LINGER on, with a time of 0 s: closing the socket sends a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -99,7 +121,7 @@
         async with self._send_lock:
             try:
                 while self._unsent:
-                    sent_bytes = await self._stream.socket.send(self._unsent)
+                    sent_bytes = await _retry_in_memory_shortage(self._send_part)
                     del self._unsent[:sent_bytes]
             except OSError as error:
                 if self._stream.socket.fileno() < 0:
@@ -149,11 +171,17 @@
 
     async def _receive(self) -> bool:
         """Read more into the buffer; False once the stream has ended."""
-        data = b"" if self.ended else await self._stream.receive_some(RECEIVE_BYTES)
+        data = b"" if self.ended else await _retry_in_memory_shortage(self._receive_part)
         self.ended = not data
         self._buffer += data
         return not self.ended
 
+    async def _send_part(self) -> int:
+        return await self._stream.socket.send(self._unsent)
+
+    async def _receive_part(self) -> bytes:
+        return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+
     def _take(self, length: int) -> bytes:
         """Remove the first bytes of the buffer and return them."""
         data = bytes(self._buffer[:length])
@@ -168,13 +196,15 @@
 async def open_line_stream(address: SocketAddress) -> LineStream | None:
     """Connect to an address; None if nothing accepts there.
 
-    Raises OSError if this process has no descriptor left.
+    Raises OSError if this machine lacks a descriptor, a port or memory for it.
     """
     sock = trio.socket.socket()
     try:
         await sock.connect(address)
-    except OSError:
+    except OSError as error:
         sock.close()
+        if error.errno in LOCAL_CONNECT_ERRNOS:
+            raise
         return None
     except BaseException:
         sock.close()
@@ -182,6 +212,19 @@
     return LineStream(trio.SocketStream(sock))
 
 
+async def _retry_in_memory_shortage(call: Callable[[], Awaitable[T]]) -> T:
+    """Make a call of a socket; where the kernel lacks memory for it, make it again after a pause."""
+    for _ in range(MEMORY_SHORTAGE_RETRIES):
+        try:
+            return await call()
+        except (OSError, trio.BrokenResourceError) as error:
+            cause = error if isinstance(error, OSError) else error.__cause__
+            if not (isinstance(cause, OSError) and cause.errno in MEMORY_SHORTAGE_ERRNOS):
+                raise
+        await trio.sleep(MEMORY_SHORTAGE_PAUSE_S)
+    return await call()
+
+
 def first_word(line: bytes) -> bytes:
     """Return what stands before the first white space of a line; nothing for an empty line."""
     words = line.split(None, 1)
