Let the soak fail system calls, draw classes of all effects, and look at growth and silence

New in walkloom lab soak: a shim of system calls beside that of the wall clock, classes that may not simply be repeated, servers that return no line on established connections, a discovery that is of no use across a drain, and rules for repeats, promises, silence and what a process still holds at the end.

--- a/tests/lab/test_soak_checker.py
+++ b/tests/lab/test_soak_checker.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import replace
+
 import pytest
 
-from walkloom.lab.soak.checker import Checker
+from walkloom.lab.soak.checker import check
 from walkloom.lab.soak.client import ClientConduct, ClientPlan
 from walkloom.lab.soak.deployment import Deployment
 from walkloom.lab.soak.history import (
@@ -21,9 +24,11 @@
     History,
     Lifecycle,
     LineReturned,
+    LineUnanswered,
     ListChanged,
     ListWritten,
     ProcessExited,
+    ProcessMeasured,
     ProcessReady,
     ProcessSignalled,
     ProcessStarted,
@@ -80,8 +85,7 @@
     start: tuple[Record, ...] = START,
 ) -> list[str]:
     ordered = sorted((*start, *records), key=lambda record: record.at)
-    checker = Checker(deployment, [plan], History(ordered))
-    return [violation.rule for violation in checker.check()]
+    return [violation.rule for violation in check(deployment, [plan], History(ordered))]
 
 
 def drained(at: float, server: str = "a") -> ListChanged:
@@ -125,7 +129,7 @@
 
 
 def test_a_balancer_that_does_not_ask_counts_as_notified_after_the_settings_time() -> None:
-    short = Deployment(**{**_fields(DEPLOYMENT), "ask_within_ms": 2000.0})  # type: ignore[arg-type]
+    short = replace(DEPLOYMENT, ask_within_ms=2000.0)
     calls = (CallReceived(6.0, "n0"), ListWritten(6.0, "n0", 2))
     assert broken_rules(*calls, drained(7.0), *SOUND, deployment=short) == ["drain"]
     assert broken_rules(*calls, drained(7.6), *SOUND, deployment=short) == []
@@ -134,7 +138,7 @@
 
 
 def test_what_the_agent_of_a_pushed_list_has_counts_at_once() -> None:
-    pushed = Deployment(**{**_fields(DEPLOYMENT), "is_pushed": True})  # type: ignore[arg-type]
+    pushed = replace(DEPLOYMENT, is_pushed=True)
     assert broken_rules(drained(9.5), *SOUND, deployment=pushed) == []
     assert broken_rules(drained(9.4), *SOUND, deployment=pushed) == ["drain"]
     silenced = WatchSilenced(9.0, "n0")
@@ -227,5 +231,76 @@
     assert broken_rules(*SOUND, ProcessStarted(20.0, "n0", 2)) == ["ready"]
 
 
-def _fields(deployment: Deployment) -> dict[str, object]:
-    return {name: getattr(deployment, name) for name in deployment.__dataclass_fields__}
+EDIT = replace(PLAN, request_class="edit")
+ERROR_THEN_UP = (*attempt(10.01, end=10.05), *attempt(10.2, "b", 2))
+REPEATS = {
+    "an idempotent class": ("idempotent", "all", ERROR_THEN_UP, "UP", []),
+    "at most once": ("at_most_once", "all", ERROR_THEN_UP, "UP", ["repeat"]),
+    "at most once, refused after it may have run": (
+        "at_most_once",
+        "all",
+        attempt(10.01, end=10.05),
+        "BUSY",
+        ["promise"],
+    ),
+    "at most once, failed": ("at_most_once", "all", attempt(10.01, end=10.05), "ERR", []),
+    "within the window": (
+        "deduplicated",
+        "all",
+        [*attempt(10.01, end=10.05), *attempt(10.2, "b", 2)],
+        "UP",
+        [],
+    ),
+    "after the window": (
+        "deduplicated",
+        "all",
+        [*attempt(10.01, end=10.05), *attempt(10.6, "b", 2)],
+        "UP",
+        ["repeat"],
+    ),
+    "in another zone": (
+        "deduplicated",
+        "zone",
+        [*attempt(10.01, "s-0", end=10.05), *attempt(10.1, "s-1", 2)],
+        "UP",
+        ["repeat"],
+    ),
+    "in the same zone": (
+        "deduplicated",
+        "zone",
+        [*attempt(10.01, "s-0", end=10.05), *attempt(10.1, "s-2", 2)],
+        "UP",
+        [],
+    ),
+    "a local scope, refused after it may have run": (
+        "deduplicated",
+        "zone",
+        attempt(10.01, "s-0", end=10.05),
+        "BUSY",
+        ["promise"],
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("repeat", "scope", "records", "word", "rules"), REPEATS.values(), ids=REPEATS.keys()
+)
+def test_a_request_that_may_have_run_is_repeated_only_as_its_class_allows(
+    repeat: str, scope: str, records: Sequence[Record], word: str, rules: list[str]
+) -> None:
+    deployment = replace(
+        DEPLOYMENT, zones=("x", "y"), repeat=repeat, deduplication_scope=scope, deduplication_window_ms=500.0
+    )
+    assert broken_rules(SENT, *records, answered(10.9, word), deployment=deployment, plan=EDIT) == rules
+
+
+def test_a_connection_without_a_line_back_for_seven_seconds_is_seen() -> None:
+    assert broken_rules(*SOUND, LineUnanswered(18.0, "r", 7.4)) == []
+    assert broken_rules(*SOUND, LineUnanswered(18.0, "r", 7.6)) == ["silent"]
+
+
+def test_a_process_that_keeps_descriptors_or_memory_is_seen() -> None:
+    base = ProcessMeasured(0.6, "n0", 10, 30_000)
+    assert broken_rules(*SOUND, base, ProcessMeasured(20.0, "n0", 22, 50_000)) == []
+    assert broken_rules(*SOUND, base, ProcessMeasured(20.0, "n0", 23, 50_000)) == ["growth"]
+    assert broken_rules(*SOUND, base, ProcessMeasured(20.0, "n0", 22, 60_000)) == ["growth"]
--- a/tests/soak_plants/__main__.py
+++ b/tests/soak_plants/__main__.py
@@ -16,8 +16,8 @@
 import trio
 
 from tests.soak_plants.plants import PLANTS, Plant
-from walkloom.lab.soak.checker import Violation
 from walkloom.lab.soak.runner import RunPlan, play
+from walkloom.lab.soak.violation import Violation
 
 ROOT = Path(__file__).parents[2]
 MAX_SEEDS = 10
--- a/walkloom/lab/settings.py
+++ b/walkloom/lab/settings.py
@@ -20,6 +20,11 @@
     message_latency_objective_ms: float = 60.0
     # of all requests
     share: float = 1.0
+    # the platform's words: idempotent, deduplicated or at_most_once
+    repeat: str = "idempotent"
+    # deduplicated only: all, zone or cell, and for how long repeats are dropped
+    deduplication_scope: str = "all"
+    deduplication_window_ms: float = 5000.0
 
 
 CLASSES = (
@@ -93,7 +98,9 @@
         "goal-time": lab_class.latency_objective_ms,
         "hard-limit": lab_class.deadline_ms,
         "importance": lab_class.priority_weight,
-        "repeat": "idempotent",
+        "repeat": lab_class.repeat,
+        "dedup-scope": lab_class.deduplication_scope,
+        "dedup-window": lab_class.deduplication_window_ms,
     }
 
 
--- a/walkloom/lab/soak/client.py
+++ b/walkloom/lab/soak/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
@@ -12,6 +13,7 @@
     ClientLeft,
     History,
     LineReturned,
+    LineUnanswered,
     RequestAnswered,
     RequestSent,
 )
@@ -21,6 +23,10 @@
 PATIENCE_S = 2.0
 LINE_INTERVAL_S = 0.4
 PIECE_INTERVAL_S = 0.02
+# A line that waits longer for its answer is recorded; the platform allows 7 s.
+MAX_UNANSWERED_S = 7.0
+# Lines carry their time with so much precision.
+CLOCK_DIGITS_S = 1e-6
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -85,6 +91,8 @@
         self._last_line = ""
         self._has_left = False
         self._was_reset = False
+        # When each line without an answer was sent, oldest first.
+        self._unanswered = deque[float]()
 
     async def run(self) -> None:
         """Send the request, read the answer, and use the connection."""
@@ -164,8 +172,11 @@
     async def _send_lines(self) -> None:
         try:
             while True:
-                await self._lines.send(f"M {trio.current_time():.6f}\r\n".encode())
+                sent_at = trio.current_time()
+                self._unanswered.append(sent_at)
+                await self._lines.send(f"M {sent_at:.6f}\r\n".encode())
                 await trio.sleep(LINE_INTERVAL_S)
+                self._record_silence()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return  # the reader sees how it ended
 
@@ -176,9 +187,17 @@
             if word == "M":
                 now = trio.current_time()
                 self._history.add(LineReturned(now, self._plan.request, now - float(sent_at)))
+                # What came before it was swallowed by the server, and is answered by this one's return.
+                while self._unanswered and self._unanswered[0] <= float(sent_at) + CLOCK_DIGITS_S:
+                    self._unanswered.popleft()
             elif word == "MOVE":
                 return
 
+    def _record_silence(self) -> None:
+        waited_s = trio.current_time() - self._unanswered[0] if self._unanswered else 0.0
+        if waited_s > MAX_UNANSWERED_S:
+            self._history.add(LineUnanswered(trio.current_time(), self._plan.request, waited_s))
+
     def _leave(self) -> None:
         self._has_left = True
         self._history.add(ClientLeft(trio.current_time(), self._plan.request))
--- a/walkloom/lab/soak/deployment.py
+++ b/walkloom/lab/soak/deployment.py
@@ -33,6 +33,10 @@
     # Ready at the start; the others are added later.
     zones: tuple[str, ...] = ("here",)
     max_attempts: int = 3
+    # Of the class with the longest deadline; as in LabClass.
+    repeat: str = "idempotent"
+    deduplication_scope: str = "all"
+    deduplication_window_ms: float = 5000.0
 
     @property
     def classes(self) -> tuple[LabClass, ...]:
@@ -40,7 +44,14 @@
         shortest = max(self.longest_deadline_ms // 3, 300)
         return (
             LabClass("view", latency_objective_ms=shortest / 3, deadline_ms=float(shortest)),
-            LabClass("edit", latency_objective_ms=shortest / 2, deadline_ms=float(self.longest_deadline_ms)),
+            LabClass(
+                "edit",
+                latency_objective_ms=shortest / 2,
+                deadline_ms=float(self.longest_deadline_ms),
+                repeat=self.repeat,
+                deduplication_scope=self.deduplication_scope,
+                deduplication_window_ms=self.deduplication_window_ms,
+            ),
         )
 
     @property
@@ -48,6 +59,11 @@
         """SIGKILL comes so long after SIGTERM at the earliest."""
         return min(self.longest_deadline_ms / 1000.0, 3.0) + 0.7
 
+    def zone_of(self, server: str) -> str:
+        """Return the zone of a server, by the number in its name."""
+        number = int(server.rpartition("-")[2]) if "-" in server else 0
+        return self.zones[number % len(self.zones)]
+
     def settings(self, zone: str) -> dict[str, Any]:
         """Return the settings object of a balancer in a zone."""
         settings = platform_settings(
@@ -81,6 +97,9 @@
         request_rate=random.uniform(20.0, 50.0),
         has_crowd=seed % 4 == 0,
         zones=zones,
+        repeat=random.choice(["idempotent", "deduplicated", "deduplicated", "at_most_once"]),
+        deduplication_scope=random.choice(["all", "zone"]),
+        deduplication_window_ms=random.choice([300.0, 1000.0, 5000.0]),
     )
 
 
--- a/walkloom/lab/soak/history.py
+++ b/walkloom/lab/soak/history.py
@@ -162,6 +162,25 @@
     delay_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LineUnanswered:
+    """A client has waited for the answer to a line for so long, and its connection is still open."""
+
+    at: float
+    request: str
+    waited_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessMeasured:
+    """What a balancer process holds, right after it became ready or at the end of the run."""
+
+    at: float
+    balancer: str
+    descriptors: int
+    memory_kib: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptBegan:
     """The first byte of a request line has come to a server."""
@@ -230,6 +249,8 @@
     | ClientLeft
     | ClientConnectionEnded
     | LineReturned
+    | LineUnanswered
+    | ProcessMeasured
     | AttemptBegan
     | AttemptNamed
     | AttemptEnded
--- a/walkloom/lab/soak/process.py
+++ b/walkloom/lab/soak/process.py
@@ -14,7 +14,14 @@
 import orjson
 import trio
 
-from walkloom.lab.soak.history import History, ProcessExited, ProcessReady, ProcessSignalled, ProcessStarted
+from walkloom.lab.soak.history import (
+    History,
+    ProcessExited,
+    ProcessMeasured,
+    ProcessReady,
+    ProcessSignalled,
+    ProcessStarted,
+)
 
 ROOT = Path(__file__).parents[3]
 SHIM = Path(__file__).parent / "shim"
@@ -22,6 +29,19 @@
 PING_TIMEOUT_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class SystemCallFault:
+    """A part of the calls of one kind fails."""
+
+    # accept, connect, send, recv or socket.
+    call: str
+
+    # The number of an error, or "short": only a few bytes are taken or given.
+    what: str
+
+    share: float
+
+
 @dataclass
 class SoakProcess:
     """One balancer process; it keeps its name, address and log over restarts."""
@@ -53,6 +73,7 @@
             "GW_CONFIG": str(self.folder / "config.json"),
             "PYTHONPATH": f"{SHIM}:{self.source}",
             "SOAK_WALL_CLOCK": str(self.folder / "wall_clock"),
+            "SOAK_SYSTEM_CALLS": str(self.folder / "system_calls"),
         }
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
@@ -68,6 +89,24 @@
         """Step its wall clock, also while it runs."""
         (self.folder / "wall_clock").write_text(f"{step_s}")
 
+    def set_system_call_fault(self, fault: SystemCallFault | None) -> None:
+        """Let a part of one kind of its system calls fail, or none."""
+        text = f"{fault.call} {fault.what} {fault.share}\n" if fault else ""
+        # Replaced whole, as the process reads it at any time.
+        new = self.folder / "system_calls.new"
+        new.write_text(text)
+        new.replace(self.folder / "system_calls")
+
+    def measure(self) -> None:
+        """Record how many descriptors and how much memory it holds."""
+        if self.popen and self.is_running:
+            with suppress(OSError):
+                descriptors = len(os.listdir(f"/proc/{self.popen.pid}/fd"))
+                status = Path(f"/proc/{self.popen.pid}/status").read_text()
+                line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+                measured = ProcessMeasured(trio.current_time(), self.name, descriptors, int(line.split()[1]))
+                self.history.add(measured)
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -98,5 +137,6 @@
                     await stream.send_all(b"PING\r\n")
                     if await stream.receive_some(16) == b"PONG\r\n":
                         self.history.add(ProcessReady(trio.current_time(), self.name))
+                        self.measure()
                         return
             await trio.sleep(READY_POLL_S)
--- a/walkloom/lab/soak/report.py
+++ b/walkloom/lab/soak/report.py
@@ -5,7 +5,6 @@
 from collections import Counter
 from pathlib import Path
 
-from walkloom.lab.soak.checker import Violation
 from walkloom.lab.soak.history import (
     FaultInjected,
     HarnessStalled,
@@ -20,6 +19,7 @@
     RequestSent,
 )
 from walkloom.lab.soak.runner import RunResult
+from walkloom.lab.soak.violation import Violation
 
 # Of one cause a run has many violations; so many get a timeline.
 MAX_TIMELINES = 5
--- a/walkloom/lab/soak/runner.py
+++ b/walkloom/lab/soak/runner.py
@@ -15,7 +15,7 @@
 from walkloom.lab.settings import balancer_configuration
 from walkloom.lab.soak import deployment as deployments
 from walkloom.lab.soak import schedule as schedules
-from walkloom.lab.soak.checker import Checker, Violation
+from walkloom.lab.soak.checker import check
 from walkloom.lab.soak.client import ClientPlan, run_client
 from walkloom.lab.soak.deployment import SOCKETS, SOCKETS_WITH_CROWD, Deployment
 from walkloom.lab.soak.discovery import FaultyDiscovery
@@ -24,6 +24,7 @@
 from walkloom.lab.soak.process import SoakProcess
 from walkloom.lab.soak.schedule import Schedule, Step, StepKind
 from walkloom.lab.soak.server import RecordingServer
+from walkloom.lab.soak.violation import Violation
 
 HEARTBEAT_S = 0.01
 # The stand-ins count as stalled from this delay on.
@@ -32,6 +33,8 @@
 RESTART_GAP_S = 0.3
 # After the last request, for what is under way.
 DRAIN_OUT_S = 2.0
+# For balancers to close what their clients have left, before what they hold is measured.
+CLOSE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,9 +73,9 @@
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         run = _Run(plan, Path(folder), source)
         await run.play()
-        checker = Checker(plan.deployment, list(plan.clients), run.history)
+        violations = check(plan.deployment, plan.clients, run.history)
         logs = {process.name: process.log_path.read_text(errors="replace") for process in run.processes}
-        return RunResult(plan, run.history, checker.check(), logs)
+        return RunResult(plan, run.history, violations, logs)
 
 
 class _Run:
@@ -180,12 +183,15 @@
 
     async def _end_processes(self) -> None:
         self._is_over = True
+        await trio.sleep(CLOSE_S)
         async with trio.open_nursery() as nursery:
             for process in self.processes:
                 nursery.start_soon(self._end, process)
 
     async def _end(self, process: SoakProcess) -> None:
         """SIGTERM, and SIGKILL at the page's earliest."""
+        if self._is_over:
+            process.measure()
         process.send(signal.SIGTERM)
         with trio.move_on_after(self._plan.deployment.kill_after_s):
             await process.wait()
@@ -214,7 +220,7 @@
                 self._discovery.fail_next_calls(step.count)
             case StepKind.SNAPSHOTS:
                 self._discovery.sends_snapshots = bool(step.count)
-            case StepKind.RESTART | StepKind.KILL | StepKind.RELOAD | StepKind.STOP | StepKind.WALL_CLOCK:
+            case _ if step.processes:
                 async with trio.open_nursery() as nursery:
                     for number in step.processes:
                         nursery.start_soon(self._signal, self.processes[number], step)
@@ -253,6 +259,10 @@
                 process.send(signal.SIGCONT)
             case StepKind.WALL_CLOCK:
                 process.set_wall_clock(step.seconds)
+            case StepKind.SYSTEM_CALLS:
+                process.set_system_call_fault(step.system_call_fault)
+                await trio.sleep(step.seconds)
+                process.set_system_call_fault(None)
             case StepKind.RESTART:
                 await self._replace(process, lambda: self._end(process))
             case StepKind.KILL:
@@ -278,6 +288,7 @@
         "server_mode": step.server_mode.value if step.kind is StepKind.SERVER_MODE else "",
         "count": step.count if step.kind in (StepKind.FAIL_CALLS, StepKind.RELOAD) else "",
         "seconds": step.seconds or "",
+        "system_call": step.system_call_fault or "",
     }
     shown = " ".join(f"{name}={value}" for name, value in fields.items() if value != "" and value != ())
     return f"{step.kind.value} {shown}".strip()
--- a/walkloom/lab/soak/schedule.py
+++ b/walkloom/lab/soak/schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from dataclasses import dataclass, replace
 from enum import Enum
 from random import Random
@@ -9,6 +10,7 @@
 from walkloom.lab.soak.client import ClientConduct, ClientPlan
 from walkloom.lab.soak.deployment import Deployment
 from walkloom.lab.soak.discovery import PUSHED_DOWN_MODES, DiscoveryMode
+from walkloom.lab.soak.process import SystemCallFault
 from walkloom.lab.soak.server import ServerMode
 
 # What a run has before its first fault, and after its last.
@@ -16,6 +18,9 @@
 # A drain can be notified this late, so that a run goes on so long after the last one.
 SETTLE_S = 8.0
 MAX_STOP_S = 0.15
+# The share of asked runs in which discovery is of no use across a drain, and for how long.
+LONG_FAULT_SHARE = 0.4
+LONG_FAULT_S = 10.0
 CROWD_SIZE = 220
 
 
@@ -38,7 +43,28 @@
     RELOAD = "reload"  # processes: SIGHUP, count times
     STOP = "stop"  # processes: SIGSTOP, SIGCONT after seconds
     WALL_CLOCK = "wall_clock"  # processes, seconds
-
+    SYSTEM_CALLS = "system_calls"  # processes, system_call_fault for seconds
+
+
+# What Linux documents for the calls of a server, beside those that the socket module retries by itself.
+_SYSTEM_CALL_FAULTS = (
+    ("accept", errno.ECONNABORTED),
+    ("accept", errno.EMFILE),
+    ("accept", errno.ENFILE),
+    ("accept", errno.ENOBUFS),
+    ("accept", errno.ENOMEM),
+    ("socket", errno.EMFILE),
+    ("socket", errno.ENOBUFS),
+    ("connect", errno.EADDRNOTAVAIL),
+    ("connect", errno.ENETUNREACH),
+    ("connect", errno.EHOSTUNREACH),
+    ("connect", errno.ETIMEDOUT),
+    ("send", errno.ENOBUFS),
+    ("send", errno.ENOMEM),
+    ("recv", errno.ENOMEM),
+    ("send", "short"),
+    ("recv", "short"),
+)
 
 _SIGNALS = (StepKind.RESTART, StepKind.KILL, StepKind.RELOAD, StepKind.STOP, StepKind.WALL_CLOCK)
 
@@ -55,6 +81,7 @@
     server_mode: ServerMode = ServerMode.HEALTHY
     count: int = 1
     seconds: float = 0.0
+    system_call_fault: SystemCallFault | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +102,8 @@
     if random.random() < 0.5:
         steps.append(Step(drain_at + random.uniform(2.0, 9.0), StepKind.LEAVE, servers=drained))
         steps.append(Step(drain_at + random.uniform(9.0, 11.0), StepKind.RETURN, servers=drained))
+    if not deployment.is_pushed and random.random() < LONG_FAULT_SHARE:
+        steps += _draw_long_fault(random, drain_at)
     healthy = [server for server in servers if server not in drained]
     for _ in range(fault_count):
         at = max(drain_at + random.uniform(-3.0, 5.0), QUIET_S)
@@ -83,15 +112,27 @@
     return Schedule(tuple(steps), duration_s=drain_at + SETTLE_S + 6.0)
 
 
+def _draw_long_fault(random: Random, drain_at: float) -> list[Step]:
+    """Discovery says nothing that can be used from right before a drain until long after it counts."""
+    mode = random.choice([DiscoveryMode.SILENT, DiscoveryMode.CUT])
+    at = drain_at - random.uniform(0.0, 0.5)
+    return [
+        Step(at, StepKind.DISCOVERY, discovery_mode=mode),
+        Step(at + LONG_FAULT_S, StepKind.DISCOVERY, discovery_mode=DiscoveryMode.HEALTHY),
+    ]
+
+
 def _draw_fault(random: Random, at: float, healthy: list[int], deployment: Deployment) -> list[Step]:
     """Draw one fault and its end."""
-    kind = random.choice(["discovery", "watch", "watch", "server", "signal"])
+    kind = random.choice(["discovery", "watch", "watch", "server", "signal", "system call"])
     if kind == "discovery":
         return _draw_discovery_outage(random, at, deployment.is_pushed)
     if kind == "watch":
         return _draw_watch_fault(random, at)
     if kind == "server":
         return _draw_server_fault(random, at, healthy)
+    if kind == "system call":
+        return _draw_system_call_fault(random, at, deployment.process_count)
     return _draw_signal(random, at, deployment.process_count)
 
 
@@ -141,6 +182,14 @@
     return [Step(at, kind, processes=chosen)]
 
 
+def _draw_system_call_fault(random: Random, at: float, process_count: int) -> list[Step]:
+    call, what = random.choice(_SYSTEM_CALL_FAULTS)
+    fault = SystemCallFault(call, str(what), share=random.choice([0.1, 0.5, 1.0]))
+    seconds = random.uniform(0.1, 0.8)
+    chosen = (random.randrange(process_count),)
+    return [Step(at, StepKind.SYSTEM_CALLS, processes=chosen, seconds=seconds, system_call_fault=fault)]
+
+
 def draw_clients(seed: int, deployment: Deployment, duration_s: float) -> list[ClientPlan]:
     """Return the clients of a run, in the order of their times."""
     random = Random(f"clients/{seed}")
--- a/walkloom/lab/soak/server.py
+++ b/walkloom/lab/soak/server.py
@@ -38,6 +38,8 @@
     RESETTING = "resetting"
     HALF_ANSWER = "half_answer"
     ENDLESS_ANSWER = "endless_answer"
+    # Established connections get no line back.
+    MUTE = "mute"
 
 
 class RecordingServer:
@@ -127,7 +129,7 @@
         words = line.split()
         request = words[1].decode() if len(words) > 1 else ""
         self._history.add(AttemptNamed(trio.current_time(), attempt, request))
-        if self.mode is not ServerMode.HEALTHY:
+        if self.mode not in (ServerMode.HEALTHY, ServerMode.MUTE):
             await self._spoil(lines, attempt)
             return
         if await _left_within(lines, SETUP_S):
@@ -137,7 +139,8 @@
         self._established[attempt] = lines
         await lines.send(b"UP %d\r\n" % attempt)
         while data := await lines.read_complete_lines():
-            await lines.send(data)
+            if self.mode is not ServerMode.MUTE:
+                await lines.send(data)
 
     async def _spoil(self, lines: LineStream, attempt: int) -> None:
         match self.mode:
--- a/walkloom/lab/soak/shim/sitecustomize.py
+++ b/walkloom/lab/soak/shim/sitecustomize.py
@@ -1,22 +1,99 @@
-"""Loaded by the interpreter of a soaked balancer: steps its wall clock by what a file says.
+"""Faults of the machine, for one process: its interpreter loads this from a PYTHONPATH of its own.
 
-It stands on that process's PYTHONPATH alone. The monotonic clock stays as it is.
+Two files say what is wrong now. SOAK_WALL_CLOCK: by how many seconds the wall clock is off.
+SOAK_SYSTEM_CALLS: lines of a call (accept, connect, send, recv, socket), the number of an error or "short",
+and the share of the calls that it concerns. The monotonic clock stays as it is.
 """
 
+from __future__ import annotations
+
 import os
+import random
+import socket
 import time
+from typing import Any
+
+LOOK_INTERVAL_S = 0.02
+SHORT = "short"
+SHORT_BYTES = 7
 
-_PATH = os.environ.get("SOAK_WALL_CLOCK", "")
 _real_time = time.time
 
 
+class _Faults:
+    """The faults of system calls that hold now, read anew at intervals."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._looked_at = 0.0
+        self._by_call: dict[str, tuple[str, float]] = {}
+        self._random = random.Random(path)
+
+    def apply(self, call: str) -> bool:
+        """Raise the error that this call is to fail with; return whether it is to be a short one."""
+        now = time.monotonic()
+        if now - self._looked_at > LOOK_INTERVAL_S:
+            self._looked_at = now
+            self._read()
+        what, share = self._by_call.get(call, ("", 0.0))
+        if self._random.random() >= share:
+            return False
+        if what == SHORT:
+            return True
+        raise OSError(int(what), os.strerror(int(what)))
+
+    def _read(self) -> None:
+        self._by_call = {}
+        try:
+            with open(self._path, encoding="ascii") as file:
+                for line in file:
+                    call, what, share = line.split()
+                    self._by_call[call] = (what, float(share))
+        except (OSError, ValueError):
+            return
+
+
+_faults = _Faults(os.environ.get("SOAK_SYSTEM_CALLS", ""))
+
+
+class _SpoiltSocket(socket.socket):
+    """A socket some of whose calls fail."""
+
+    __slots__ = ()
+
+    def __init__(self, family: int = -1, type: int = -1, proto: int = -1, fileno: int | None = None) -> None:
+        if fileno is None:
+            _faults.apply("socket")
+        super().__init__(family, type, proto, fileno)
+
+    def accept(self) -> Any:
+        _faults.apply("accept")
+        return super().accept()
+
+    def connect(self, address: Any) -> None:
+        _faults.apply("connect")
+        super().connect(address)
+
+    def send(self, data: Any, flags: int = 0) -> int:
+        if _faults.apply("send"):
+            data = memoryview(data)[:SHORT_BYTES]
+        return super().send(data, flags)
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        if _faults.apply("recv"):
+            size = min(size, SHORT_BYTES)
+        return super().recv(size, flags)
+
+
 def _stepped_time() -> float:
     try:
-        with open(_PATH, encoding="ascii") as file:
+        with open(os.environ["SOAK_WALL_CLOCK"], encoding="ascii") as file:
             return _real_time() + float(file.read() or 0.0)
     except (OSError, ValueError):
         return _real_time()
 
 
-if _PATH:
+if "SOAK_WALL_CLOCK" in os.environ:
     time.time = _stepped_time
+if "SOAK_SYSTEM_CALLS" in os.environ:
+    socket.socket = _SpoiltSocket  # type: ignore[misc]
--- /dev/null
+++ b/walkloom/lab/soak/violation.py
@@ -0,0 +1,24 @@
+"""A broken rule."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken rule: `at` is when, `bound` when it had to be over (seconds of the history's clock)."""
+
+    rule: str
+    balancer: str
+    # "-" where it is about a process.
+    request: str
+    at: float
+    bound: float
+    text: str
+
+    def __str__(self) -> str:
+        return (
+            f"{self.rule} balancer={self.balancer} request={self.request} "
+            f"at={self.at:.3f} bound={self.bound:.3f} {self.text}"
+        )
