Give a pushed list's watch the same lease as an asked one

A pushed list had no lease, as its agent was thought to answer at once.

It has one now, by the same rules.

--- a/tests/discovery/test_call.py
+++ b/tests/discovery/test_call.py
@@ -41,6 +41,14 @@
     assert EndedCall(error, duration_s, continues_watch=False).failure is failure
 
 
+def test_a_silent_agent_of_a_pushed_list_is_down_but_not_a_watch_that_fell_silent() -> None:
+    stalled = CallStalledError()
+    assert (
+        EndedCall(stalled, 0.25, continues_watch=False, calls_agent=True).failure is ListFailure.UNREACHABLE
+    )
+    assert EndedCall(stalled, 3.8, continues_watch=True, calls_agent=True).failure is ListFailure.UNANSWERED
+
+
 def test_a_watch_counts_as_open_until_discovery_itself_ends_it() -> None:
     assert EndedCall(ResponseIncompleteError(0), LATE_S, continues_watch=True).ended_watch
     assert not EndedCall(ResponseIncompleteError(0), LATE_S, continues_watch=False).ended_watch
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -35,7 +35,8 @@
 # A shorter deadline could not be met by any endpoint.
 MIN_DEADLINE_MS = 1.0
 
-# A change of a list that is asked for counts as notified so long after discovery had it. The platform's rule.
+# A change of the list counts as notified so long after discovery had it, or after a watch fell silent. The
+# platform's rule.
 MAX_LIST_AGE_MS = 6000.0
 
 # The process may be held up so long between reading its clock and writing. The platform's rule.
@@ -220,9 +221,12 @@
     reader = SettingsReader(flatten_settings(data))
     # Over sockets loads are polled before a placement; only on the simulator's wire do endpoints report
     # latencies by themselves.
-    settings = replace(read_settings(reader), server_reports_latency=False, max_hold_up_ms=MAX_HOLD_UP_MS)
-    if settings.polls_endpoint_list:
-        settings = replace(settings, max_list_age_ms=MAX_LIST_AGE_MS)
+    settings = replace(
+        read_settings(reader),
+        server_reports_latency=False,
+        max_hold_up_ms=MAX_HOLD_UP_MS,
+        max_list_age_ms=MAX_LIST_AGE_MS,
+    )
     names = SettingNames(
         classes=_parse_names(data, "classes"),
         tenants=_parse_names(data, "accounts"),
--- a/walkloom/discovery/call.py
+++ b/walkloom/discovery/call.py
@@ -8,7 +8,12 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from walkloom.discovery.errors import ConnectRefusedError, ResponseIncompleteError, ResponseStatusError
+from walkloom.discovery.errors import (
+    CallStalledError,
+    ConnectRefusedError,
+    ResponseIncompleteError,
+    ResponseStatusError,
+)
 from walkloom.messages import ListFailure
 
 # A discovery that is down refuses within this time. One that refuses later had the call in its queue.
@@ -36,9 +41,9 @@
         beyond_hold_ms = (answered_at - self.started_at) * 1000.0 - self.hold_ms
         return 0.0 if self.continues_watch else max(beyond_hold_ms, 0.0)
 
-    def ended(self, error: Exception, now: float) -> EndedCall:
-        """Return the call as one that brought no list."""
-        return EndedCall(error, now - self.started_at, self.continues_watch)
+    def ended(self, error: Exception, now: float, *, calls_agent: bool = False) -> EndedCall:
+        """Return the call as one that brought no list; calls_agent: to the agent of a pushed list."""
+        return EndedCall(error, now - self.started_at, self.continues_watch, calls_agent)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,11 +56,16 @@
     # As in Call.
     continues_watch: bool
 
+    # It went to the agent of a pushed list, which is silent while it learns nothing.
+    calls_agent: bool = False
+
     @property
     def failure(self) -> ListFailure:
         """Whether discovery is down or overloaded, as far as the call shows."""
         if isinstance(self.error, ConnectRefusedError):
             return ListFailure.UNREACHABLE
+        if isinstance(self.error, CallStalledError) and self.calls_agent and not self.continues_watch:
+            return ListFailure.UNREACHABLE
         if self._is_refusal and self.duration_s <= MAX_REFUSAL_S:
             return ListFailure.UNREACHABLE
         return ListFailure.OVERLOADED if self._is_server_error else ListFailure.UNANSWERED
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -143,9 +143,9 @@
                 await self._poll(connection)
             except CallStalledError:
                 # A watch that fell silent is opened anew without the pause after a failure: what it misses
-                # counts as received soon (rule 3). A new call that stalls, too, is a failed one.
-                is_first_stall = self._call.continues_watch or not has_stalled
-                if not (is_first_stall or self._list_is_pushed):
+                # counts as received soon (rule 3). A new call that stalls, too, is a failed one, and so is
+                # one that an agent on this machine does not answer.
+                if not self._call.continues_watch and (has_stalled or self._list_is_pushed):
                     raise
                 has_stalled = True
                 self._record_failure("stalled", stalled=True)
@@ -231,7 +231,7 @@
 
     def _report_failure(self, error: Exception) -> None:
         """Log a failed call and hand the failure to the policy."""
-        ended = self._call.ended(error, trio.current_time())
+        ended = self._call.ended(error, trio.current_time(), calls_agent=self._list_is_pushed)
         self._record_failure(str(error) or repr(error), stalled=isinstance(error, CallStalledError))
         self._engine.endpoint_list_updated(
             EndpointListUpdate(
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -110,6 +110,18 @@
     "pushed_list_without_a_time_for_asking": lambda: _plan(
         _deployment(is_pushed=True, ask_within_ms=0.0), _reset(), _fail_calls(6)
     ),
+    "pushed_watch_silent_and_then_the_agent_unavailable": lambda: _plan(
+        _deployment(is_pushed=True),
+        _silence(),
+        _mode(DiscoveryMode.UNAVAILABLE, FAULT_AT_S + 1.0),
+        _mode(HEALTHY, FAULT_AT_S + 9.0),
+    ),
+    "pushed_agent_silent_until_the_end": lambda: _plan(
+        _deployment(is_pushed=True),
+        _mode(DiscoveryMode.SILENT, AFTER_FIRST_CALLS_S),
+        _reset(AFTER_FIRST_CALLS_S),
+        drain_at=AFTER_FIRST_CALLS_S + 0.5,
+    ),
     "processes_start_while_the_servers_drain": lambda: _plan(
         _deployment(),
         Step(FAULT_AT_S - 0.5, StepKind.KILL, processes=(0, 1, 2)),
--- a/walkloom/lab/soak/schedule.py
+++ b/walkloom/lab/soak/schedule.py
@@ -21,6 +21,8 @@
 # The share of asked runs in which discovery is of no use across a drain, and for how long.
 LONG_FAULT_SHARE = 0.4
 LONG_FAULT_S = 10.0
+# The share of runs in which all servers drain.
+DRAINS_ALL_SHARE = 0.2
 CROWD_SIZE = 220
 
 
@@ -96,7 +98,8 @@
     """Return the schedule of a seed: drains, and faults right before, during and after them."""
     random = Random(f"schedule/{seed}")
     servers = list(range(deployment.server_count))
-    drained = tuple(random.sample(servers, max(len(servers) // 2, 1)))
+    drains_all = random.random() < DRAINS_ALL_SHARE
+    drained = tuple(random.sample(servers, len(servers) if drains_all else max(len(servers) // 2, 1)))
     drain_at = QUIET_S + random.uniform(0.5, 5.0)
     steps = [Step(drain_at, StepKind.DRAIN, servers=drained)]
     if random.random() < 0.5:
@@ -104,7 +107,7 @@
         steps.append(Step(drain_at + random.uniform(9.0, 11.0), StepKind.RETURN, servers=drained))
     if not deployment.is_pushed and random.random() < LONG_FAULT_SHARE:
         steps += _draw_long_fault(random, drain_at)
-    healthy = [server for server in servers if server not in drained]
+    healthy = [server for server in servers if server not in drained] or servers
     for _ in range(fault_count):
         at = max(drain_at + random.uniform(-3.0, 5.0), QUIET_S)
         steps += _draw_fault(random, at, healthy, deployment)
--- a/walkloom/messages/settings.py
+++ b/walkloom/messages/settings.py
@@ -91,7 +91,7 @@
     max_poll_interval_ms: float = 0.0
 
     # A change counts as notified so long after discovery had it, whether or not it arrived. Infinite where
-    # nothing is missed: on the simulator's wire, and where the list is pushed.
+    # nothing is missed: on the simulator's wire.
     max_list_age_ms: float = math.inf
 
     # The process may be held up so long between a byte's arrival and its reading, and again between the last
--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -61,7 +61,8 @@
     """A pause out of step with the other balancers (full jitter), so that the next call fits in the lease."""
     share = state.random.random()
     if not state.settings.polls_endpoint_list:
-        return PUSHED_PAUSE_SHARE * state.settings.drain_grace_ms * share
+        # a call that a silent agent kept for so long needs no pause after it
+        return max(PUSHED_PAUSE_SHARE * state.settings.drain_grace_ms * share - event.call_ms, 0.0)
     if event.failure is ListFailure.OVERLOADED:
         share += 0.5  # its queue has to empty: no call may follow at once
     return _longest_pause_ms(state, event) * share
