--- /dev/null
+++ b/benchmarks/fleet_growth.py
@@ -0,0 +1,173 @@
+"""One balancer before 200 and 3,200 servers, with the same traffic: `python -m benchmarks.fleet_growth`.
+
+Printed for both sizes and as their ratio, beside what the platform's page "Standing test" allows: processor
+time, peak memory, most descriptors, connections made to servers, and bytes of lists while servers change.
+All servers of the list share one address, where a stand-in serves; the balancer knows them by their names.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import trio
+
+from walkloom.lab.settings import balancer_configuration
+from walkloom.lab.soak import schedule as schedules
+from walkloom.lab.soak.client import run_client
+from walkloom.lab.soak.deployment import SOCKETS, Deployment
+from walkloom.lab.soak.discovery import FaultyDiscovery
+from walkloom.lab.soak.history import History, Lifecycle
+from walkloom.lab.soak.hosts import draw_host, free_port
+from walkloom.lab.soak.process import SoakProcess
+from walkloom.lab.soak.server import RecordingServer
+
+SMALL, LARGE = 200, 3200
+DURATION_S = 20.0
+REQUEST_RATE = 20.0
+# So often the list changes: one server drains, and the one before is ready again.
+CHANGE_INTERVAL_S = 0.2
+SAMPLE_INTERVAL_S = 0.2
+_USER_TIME_FIELD = 11
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What one balancer needed."""
+
+    cpu_s: float
+    peak_memory_mb: float
+    descriptors: int
+    connections: int
+    list_kb: float
+
+
+# What the larger fleet may need, from what the smaller one needed and the thousands of its servers.
+LIMITS: dict[str, Callable[[float, float], float]] = {
+    "cpu_s": lambda small, thousands: 1.4 * small + 0.02 + 0.12 * thousands,
+    "peak_memory_mb": lambda small, thousands: 1.5 * small + 8.0 + 4.0 * thousands,
+    "descriptors": lambda small, _: 2.0 * small + 40.0,
+    "connections": lambda small, _: 2.5 * small + 40.0,
+    "list_kb": lambda small, thousands: 2.0 * small + 64.0 + 500.0 * thousands,
+}
+
+
+async def measure(server_count: int) -> Cost:
+    """Run one balancer before so many servers."""
+    deployment = Deployment(
+        balancer_count=200,
+        process_count=1,
+        server_count=server_count,
+        is_pushed=False,
+        ask_within_ms=10_000.0,
+        drain_grace_ms=500.0,
+        longest_deadline_ms=3000,
+        load_reports=True,
+        request_rate=REQUEST_RATE,
+        has_crowd=False,
+    )
+    host, history = draw_host(), History()
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            discovery = FaultyDiscovery(host, history, nursery, is_pushed=False)
+            server = RecordingServer("s-0", host, history, nursery)
+            server.start()
+            for number in range(server_count):
+                discovery.put(f"s-{number}", server.address, "here")
+            process = _start(deployment, discovery, host, history, Path(folder))
+            try:
+                await process.wait_until_ready()
+                cost = await _run_traffic(deployment, discovery, server, process, history)
+            finally:
+                process.popen.kill()  # type: ignore[union-attr]
+            nursery.cancel_scope.cancel()
+    return cost
+
+
+def _start(
+    deployment: Deployment, discovery: FaultyDiscovery, host: str, history: History, folder: Path
+) -> SoakProcess:
+    address = f"{host}:{free_port(host)}"
+    discovery_host, _, port = discovery.open_gate("n0").rpartition(":")
+    configuration = balancer_configuration(
+        "n0", address, (discovery_host, int(port)), [], deployment.settings("here"), SOCKETS
+    )
+    configuration["known"] = discovery.snapshot()
+    process = SoakProcess("n0", address, folder, configuration, history)
+    process.start(discovery.generation)
+    return process
+
+
+async def _run_traffic(
+    deployment: Deployment,
+    discovery: FaultyDiscovery,
+    server: RecordingServer,
+    process: SoakProcess,
+    history: History,
+) -> Cost:
+    descriptors = 0
+
+    async def change_list() -> None:
+        number = 0
+        while True:
+            discovery.set_lifecycle(f"s-{number}", Lifecycle.READY)
+            number = (number + 1) % deployment.server_count
+            discovery.set_lifecycle(f"s-{number}", Lifecycle.DRAINING)
+            await trio.sleep(CHANGE_INTERVAL_S)
+
+    async def sample_descriptors() -> None:
+        nonlocal descriptors
+        while True:
+            descriptors = max(descriptors, len(os.listdir(f"/proc/{_pid(process)}/fd")))
+            await trio.sleep(SAMPLE_INTERVAL_S)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(change_list)
+        nursery.start_soon(sample_descriptors)
+        started_at = trio.current_time()
+        for client in schedules.draw_clients(1, deployment, DURATION_S):
+            await trio.sleep_until(started_at + client.at)
+            nursery.start_soon(run_client, replace(client, balancer="n0"), process.address, history)
+        cost = Cost(
+            cpu_s=_cpu_s(process),
+            peak_memory_mb=_peak_memory_mb(process),
+            descriptors=descriptors,
+            connections=server.connection_count,
+            list_kb=discovery.written_bytes / 1000.0,
+        )
+        nursery.cancel_scope.cancel()
+    return cost
+
+
+def _pid(process: SoakProcess) -> int:
+    assert process.popen
+    return process.popen.pid
+
+
+def _cpu_s(process: SoakProcess) -> float:
+    fields = Path(f"/proc/{_pid(process)}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[_USER_TIME_FIELD]) + int(fields[_USER_TIME_FIELD + 1])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _peak_memory_mb(process: SoakProcess) -> float:
+    lines = Path(f"/proc/{_pid(process)}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM:")) / 1024.0
+
+
+def main() -> None:
+    """Measure both sizes and print them beside the limits."""
+    small, large = trio.run(measure, SMALL), trio.run(measure, LARGE)
+    print(f"| what | {SMALL} servers | {LARGE} servers | allowed | |\n|---|---|---|---|---|")
+    for name, limit in LIMITS.items():
+        before, after = float(getattr(small, name)), float(getattr(large, name))
+        allowed = limit(before, LARGE / 1000.0)
+        verdict = "kept" if after <= allowed else "OVER"
+        print(f"| {name} | {before:.2f} | {after:.2f} | {allowed:.2f} | {verdict} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -124,6 +124,8 @@
         # Whole lists are sent in place of changes.
         self.sends_snapshots = False
         self.generation = 0
+        # Of all lists, their heads included.
+        self.written_bytes = 0
         self._history = history
         self._nursery = nursery
         self._entries: dict[str, _Entry] = {}
@@ -317,6 +319,7 @@
             await _trickle(connection.stream, data)
         else:
             await connection.stream.send_all(data)
+        self.written_bytes += len(data)
         self._history.add(ListWritten(trio.current_time(), gate.balancer, generation))
         return True
 
--- a/walkloom/lab/soak/server.py
+++ b/walkloom/lab/soak/server.py
@@ -51,6 +51,7 @@
         self._host = host
         self.mode = ServerMode.HEALTHY
         self.port = 0
+        self.connection_count = 0
         self._history = history
         self._nursery = nursery
         self._listener: trio.SocketListener | None = None
@@ -98,6 +99,7 @@
         with suppress(trio.ClosedResourceError):
             while True:
                 stream = await listener.accept()
+                self.connection_count += 1
                 self._nursery.start_soon(self._serve, stream)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
