--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -18,6 +18,8 @@
 SERVER_COUNT = 8
 DRAINED = tuple(range(SERVER_COUNT // 2))
 FAULT_AT_S = 1.0
+# Where the order of a fault and the drain matters.
+BEFORE_DRAIN_S = 0.1
 # All balancers have called once, however many there are.
 AFTER_FIRST_CALLS_S = 4.0
 # Late work shows within the longest pause that was seen.
@@ -112,7 +114,7 @@
     ),
     "pushed_watch_silent_and_then_the_agent_unavailable": lambda: _plan(
         _deployment(is_pushed=True),
-        _silence(),
+        _silence(FAULT_AT_S - BEFORE_DRAIN_S),
         _mode(DiscoveryMode.UNAVAILABLE, FAULT_AT_S + 1.0),
         _mode(HEALTHY, FAULT_AT_S + 9.0),
     ),
