Give no drain grace to servers that drain in the first list of a process

The process counts as notified from its start.

The new test failed before by its first assertion (run with the table as it was).

--- a/tests/state/test_endpoint_table.py
+++ b/tests/state/test_endpoint_table.py
@@ -42,6 +42,15 @@
     assert made.by_id["b"].drain_notified_at == NOW - 500.0
 
 
+def test_one_that_drains_in_the_first_list_of_a_process_has_no_grace_left() -> None:
+    draining = Endpoint("a", lifecycle=Lifecycle.DRAINING)
+    over_sockets = table(draining, Endpoint("b"), drain_grace_ms=500.0, max_list_age_ms=6000.0)
+    assert over_sockets.by_id["a"].drain_notified_at == NOW - 500.0
+    assert over_sockets.by_id["b"].drain_notified_at == READY
+    # On the simulator's wire the list is read as it comes.
+    assert table(draining, drain_grace_ms=500.0).by_id["a"].drain_notified_at == NOW
+
+
 def test_a_snapshot_removes_what_it_does_not_name_and_an_update_does_not() -> None:
     made = table(Endpoint("a"), Endpoint("b"))
     made.apply(incremental(Endpoint("a")), NOW)
--- a/walkloom/state/endpoint_table.py
+++ b/walkloom/state/endpoint_table.py
@@ -17,6 +17,8 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._has_list = False
+        # The process had the first list before it could read it: drains in it count from then on.
+        self._first_list_is_old = settings.limits_list_age
         self._listed_at = -NEVER  # when the newest list came, ms
         self._usable = Tier(EndpointPool([]), EndpointPool([]))
         self._is_outdated = True
@@ -88,7 +90,8 @@
         self._is_outdated = True
         if self._has_list:
             endpoint.ramp_started_at = now
-            # one that is back as draining may have drained before: its grace does not begin anew
+        if self._has_list or self._first_list_is_old:
+            # It may have drained before: its grace does not begin anew.
             endpoint.drain_notified_at = max(now - self._settings.drain_grace_ms, 0.0)
         return endpoint
 
