--- a/benchmarks/fleet_growth.py
+++ b/benchmarks/fleet_growth.py
@@ -21,7 +21,7 @@
 from walkloom.lab.soak.deployment import SOCKETS, Deployment
 from walkloom.lab.soak.discovery import FaultyDiscovery
 from walkloom.lab.soak.history import History, Lifecycle
-from walkloom.lab.soak.hosts import draw_host, free_port
+from walkloom.lab.soak.hosts import LoopbackHost
 from walkloom.lab.soak.process import SoakProcess
 from walkloom.lab.soak.server import RecordingServer
 
@@ -69,7 +69,7 @@
         request_rate=REQUEST_RATE,
         has_crowd=False,
     )
-    host, history = draw_host(), History()
+    host, history = LoopbackHost(), History()
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             discovery = FaultyDiscovery(host, history, nursery, is_pushed=False)
@@ -88,9 +88,9 @@
 
 
 def _start(
-    deployment: Deployment, discovery: FaultyDiscovery, host: str, history: History, folder: Path
+    deployment: Deployment, discovery: FaultyDiscovery, host: LoopbackHost, history: History, folder: Path
 ) -> SoakProcess:
-    address = f"{host}:{free_port(host)}"
+    address = f"{host.address}:{host.next_port()}"
     discovery_host, _, port = discovery.open_gate("n0").rpartition(":")
     configuration = balancer_configuration(
         "n0", address, (discovery_host, int(port)), [], deployment.settings("here"), SOCKETS
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -21,7 +21,7 @@
     ListWritten,
     WatchSilenced,
 )
-from walkloom.lab.soak.hosts import free_port
+from walkloom.lab.soak.hosts import LoopbackHost
 from walkloom.transport.line_stream import RESET_ON_CLOSE
 
 MAX_HEAD_BYTES = 8192
@@ -112,7 +112,9 @@
 class FaultyDiscovery:
     """The registry of a run."""
 
-    def __init__(self, host: str, history: History, nursery: trio.Nursery, *, is_pushed: bool) -> None:
+    def __init__(
+        self, host: LoopbackHost, history: History, nursery: trio.Nursery, *, is_pushed: bool
+    ) -> None:
         """The listeners run in the nursery, on ports of the host.
 
         is_pushed: it is the agent of a pushed list, which learns nothing while it is silent.
@@ -212,14 +214,16 @@
 
     def open_gate(self, balancer: str) -> str:
         """Listen for a balancer; return the address that it is to call."""
-        gate = _Gate(balancer, free_port(self._host))
+        gate = _Gate(balancer, self._host.next_port())
         self._gates[balancer] = gate
         self._history.add(DiscoveryReachable(trio.current_time(), balancer, True))
         self._listen(gate)
-        return f"{self._host}:{gate.port}"
+        return f"{self._host.address}:{gate.port}"
 
     def _listen(self, gate: _Gate) -> None:
-        sock = trio.socket.from_stdlib_socket(socket.create_server((self._host, gate.port), backlog=BACKLOG))
+        sock = trio.socket.from_stdlib_socket(
+            socket.create_server((self._host.address, gate.port), backlog=BACKLOG)
+        )
         gate.listener = trio.SocketListener(sock)
         self._nursery.start_soon(self._accept, gate, gate.listener)
 
--- a/walkloom/lab/soak/hosts.py
+++ b/walkloom/lab/soak/hosts.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import secrets
-import socket
+from itertools import count
 
+# Below the ports that the system gives to connections.
+FIRST_PORT = 20_000
 
-def draw_host() -> str:
-    """Return a loopback address that hardly any other run on this machine has.
 
-    Ports on it are taken by listeners alone: connections come from 127.0.0.1.
-    """
-    return f"127.{secrets.randbelow(200) + 20}.{secrets.randbelow(250) + 1}.{secrets.randbelow(250) + 1}"
+class LoopbackHost:
+    """A loopback address that hardly any other run on this machine has, and its ports."""
 
+    def __init__(self) -> None:
+        self.address = (
+            f"127.{secrets.randbelow(200) + 20}.{secrets.randbelow(250) + 1}.{secrets.randbelow(250) + 1}"
+        )
+        self._ports = count(FIRST_PORT)
 
-def free_port(host: str) -> int:
-    """Return a port of the host on which nobody listens now."""
-    with socket.create_server((host, 0)) as free:
-        return int(free.getsockname()[1])
+    def next_port(self) -> int:
+        """Return a port that this run has not used."""
+        return next(self._ports)
