Count the list of a process as confirmed at its start, not when it is read

The lease now begins with the first line of the program that runs (process_start, imported before all else); the interpreter's own start lies within the margin for a held-up process.

--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -534,6 +534,17 @@
     scenario.run(script, start_watcher, (), polls_endpoint_list=polls_endpoint_list, **changes)
 
 
+def test_a_list_that_a_process_had_before_it_could_read_it_has_a_shorter_lease() -> None:
+    async def main() -> None:
+        limits = {"polls_endpoint_list": True, "max_list_age_ms": 6000.0, "drain_grace_ms": 500.0}
+        engine = Engine(settings(**limits), 1)
+        body = orjson.dumps({"generation": 1, "reset": True, "instances": []})
+        EndpointWatcher(engine, ("127.0.0.1", 1), NAMES).load_cached(body, age_s=2.0)
+        assert engine.list_lease_ms() <= 4500.0
+
+    trio.run(main)
+
+
 def test_a_list_of_1024_servers_is_taken_whole_by_one_of_1024_balancers() -> None:
     """No bound below what the largest fleets have: every entry has its address and can be chosen."""
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -15,6 +15,9 @@
 import orjson
 import pytest
 
+from walkloom import process_start
+from walkloom.__main__ import _load_start_config
+
 # How long the program may take for what a test waits for.
 LIMIT_S = 20
 
@@ -125,6 +128,16 @@
     assert process.returncode == 0 and err.rstrip().endswith("shutdown_finished")
 
 
+def test_the_list_of_the_file_is_as_old_as_the_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(config()))
+    monkeypatch.setenv("GW_CONFIG", str(path))
+    monkeypatch.setattr(process_start, "STARTED_AT", process_start.STARTED_AT - 2.0)
+    assert _load_start_config().balancer.known_age_s >= 2.0
+
+
 def test_a_second_sigterm_and_a_sighup_change_nothing_of_a_graceful_shutdown(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps(config()))
--- a/walkloom/__main__.py
+++ b/walkloom/__main__.py
@@ -12,13 +12,13 @@
 import signal
 import sys
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from importlib.util import find_spec
 from pathlib import Path
 
 import trio
 
-from walkloom import config
+from walkloom import config, process_start
 from walkloom.config import Config, ConfigError
 from walkloom.discovery.watcher import EndpointWatcher
 from walkloom.frontends.quic import settings as quic_settings
@@ -143,7 +143,7 @@
 
 def _load_start_config() -> _StartConfig:
     """Read all configuration files; raises ConfigError."""
-    balancer = config.load()
+    balancer = replace(config.load(), known_age_s=process_start.age_s())
     quic = quic_settings.load(QUIC_FILE, balancer.names)
     if quic and not find_spec("cryptography"):
         raise ConfigError(f"{QUIC_FILE} needs requirements-quic.txt")
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -121,6 +121,9 @@
     # The longest deadline of all request classes, ms.
     longest: float
 
+    # For how long `known` has been this process's list, s: since its start, where it is the process's own.
+    known_age_s: float = 0.0
+
     def fixed_changes(self, new: Config) -> list[str]:
         """Return the fields in which a file that was read again differs and which wait for a restart."""
         return [field for field in RESTART_ONLY_FIELDS if getattr(self, field) != getattr(new, field)]
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -75,11 +75,11 @@
         """Return an endpoint's address; None if the list does not name the endpoint."""
         return self._address_book.lookup(endpoint_id)
 
-    def load_cached(self, body: bytes) -> None:
+    def load_cached(self, body: bytes, age_s: float = 0.0) -> None:
         """Take over the list as this balancer had it last, before any call.
 
-        A list that cannot be read is logged as `cached_endpoint_list_invalid`; the balancer then starts with
-        none.
+        age_s: how long ago it counts as confirmed, s. A list that cannot be read is logged as
+        `cached_endpoint_list_invalid`; the balancer then starts with none.
         """
         try:
             response = decode(body, self._names)
@@ -87,7 +87,8 @@
             log.warning("cached_endpoint_list_invalid error=%r", str(error))
             self._engine.endpoint_list_received(UpdateKind.CACHED)
         else:
-            cached = response.update._replace(kind=UpdateKind.CACHED, confirmed_at=self._engine.now())
+            confirmed_at = self._engine.now() - age_s * 1000.0
+            cached = response.update._replace(kind=UpdateKind.CACHED, confirmed_at=confirmed_at)
             self._apply(response, cached)
         if self._list_is_pushed:
             self._generation = None
--- a/walkloom/lab/soak/request_rules.py
+++ b/walkloom/lab/soak/request_rules.py
@@ -132,7 +132,7 @@
         yield self._violation("lost", request, at, due, text)
 
     def _is_excused(self, request: RequestRecords, due: float) -> bool:
-        """Whether its balancer was killed without a warning, or had long been told to end."""
+        """Whether its balancer was killed without a warning, or had long been asked to end."""
         kill_after_s = self._deployment.kill_after_s
         for signal in self._run.processes.signals:
             if signal.balancer != request.plan.balancer:
--- a/walkloom/server.py
+++ b/walkloom/server.py
@@ -46,7 +46,7 @@
         self.address = conf.listen
         self.engine = Engine(conf.settings, conf.seed)
         self.watcher = EndpointWatcher(self.engine, conf.discovery, conf.names)
-        self.watcher.load_cached(conf.known)
+        self.watcher.load_cached(conf.known, conf.known_age_s)
         descriptor_limit = DescriptorLimit(conf.sockets)
         self._frontend = LineFrontend(
             self.engine, self.watcher, conf.names, conf.connect_timeout, conf.longest, descriptor_limit
--- a/walkloom/state/list_lease.py
+++ b/walkloom/state/list_lease.py
@@ -14,7 +14,7 @@
     # Nothing new is sent to any endpoint from then on, until discovery confirms the list.
     expires_at: float = NEVER
 
-    # Until then discovery is known to have told all, or to have been down, without a gap.
+    # Until then discovery is known to have answered with all it had, or to have been down, without a gap.
     observed_until: float = -NEVER
 
     # Calls in a row that brought no list.
