Count a watch as seen only up to its last answer, and reopen silent ones sooner

Cause: list_lease.record_failure took the reset of a watch as an observation of discovery up to that moment, however long ago the watch had been answered. The refused calls of the outage then prolonged the lease each time. The same on a related path: the cached list counted as seen at the start.

Change: list_lease alone decides what counts. A call that discovery ended counts for its moment if there was another observation within 0.8 s before. So that sound watches stay usable in an outage, a call is held for 0.5 s, a silent watch is reopened 0.5 s after its hold (1.8 s while discovery is slow), and the end of a watch is followed by a connect without a call.

Why it works: the last answer bounds what a silent watch can hide, whoever ends the watch.

Two bounds of test_list_lease are narrower (0.8 s for 1.2 s, 0.4 s for 0.8 s). In test_frontend the watch is expected with wait=500 instead of wait=2000, the new hold.

--- a/benchmarks/registry_crowd.py
+++ b/benchmarks/registry_crowd.py
@@ -40,8 +40,8 @@
 # Balancers must have the list by then: a drain counts as notified after 6 s, the drain grace is 0.5 s, and
 # 0.05 s are for the delays of sockets.
 LIST_DEADLINE_S = 6.55
-SILENCE_DETECTION_S = 3.8  # from the last confirmation to the first call, where a watch falls silent
-WATCH_HOLD_S = 2.0  # the list was last confirmed up to this long before time 0
+SILENCE_DETECTION_S = 1.0  # from the last confirmation to the first call, where a watch falls silent
+WATCH_HOLD_S = 0.5  # the list was last confirmed up to this long before time 0
 RUN_LIMIT_S = 60.0
 MAX_POLL_INTERVAL_MS = 10_000.0
 
--- a/tests/frontends/line/test_frontend.py
+++ b/tests/frontends/line/test_frontend.py
@@ -388,7 +388,7 @@
     "the next call follows at once, on the same connection": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         s1 send {ANSWER}
-        s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        s1 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "a 503 is reported, and the call comes again": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         s1 send HTTP/1.1 503 no\\r\\nContent-Length: 0\\r\\n
@@ -403,7 +403,7 @@
         within 100 s2 {EXPECT_WHOLE_LIST} {EXPECT_REST_OF_HEAD.format(2)}
         s1 expect EOF
         s2 send {ANSWER}
-        within 100 s2 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        within 100 s2 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "an answer of the discovery before that crosses a change of discovery is not taken": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         change_discovery crossing
@@ -424,7 +424,7 @@
         s1 {EXPECT_WATCH} s1 reset\ns2 {EXPECT_WATCH} s2 reset
         s3 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(3)}
         s3 send {ANSWER}
-        within 20 s3 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        within 20 s3 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "an answer that nobody asked for is not taken for the next one": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         s1 part {ANSWER}HTTP/1.1 200 OK\\r\\n
@@ -432,24 +432,24 @@
     "a discovery that holds no call is asked at a pace": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         s1 part {ANSWER}
-        within 10 s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1
+        within 10 s1 expect GET /registry/instances?index=4&wait=500 HTTP/1.1
         {EXPECT_REST_OF_HEAD.format(1)}
         s1 part {ANSWER}
-        after 90 s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        after 90 s1 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "a discovery that closes after each answer is watched on": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         s1 part {CLOSING_ANSWER}
         s1 close
-        within 50 s2 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        within 50 s2 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "one that closes, and holds no call, is asked at a pace, too": f"""
         s1 {EXPECT_WATCH} {EXPECT_REST_OF_HEAD.format(1)}
         s1 part {CLOSING_ANSWER}
         s1 close
-        s2 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1
+        s2 expect GET /registry/instances?index=4&wait=500 HTTP/1.1
         {EXPECT_REST_OF_HEAD.format(2)}
         s2 part {CLOSING_ANSWER}
         s2 close
-        after 90 s3 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        after 90 s3 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "a change of discovery waits for no pause after failed calls, nor do those that follow": f"""
         s1 {EXPECT_WATCH} s1 reset
         s2 {EXPECT_WATCH} s2 reset
@@ -494,7 +494,7 @@
     "the agent is called at once, for all it has, and then for changes": f"""
         within 20 s1 {EXPECT_WHOLE_LIST} {EXPECT_REST_OF_HEAD.format(1)}
         s1 send {ANSWER}
-        within 20 s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1""",
+        within 20 s1 expect GET /registry/instances?index=4&wait=500 HTTP/1.1""",
     "a silent agent is asked again within half the grace, for all it has": f"""
         s1 {EXPECT_WHOLE_LIST} wait 255
         within 20 s2 {EXPECT_WHOLE_LIST} wait 255
@@ -502,13 +502,13 @@
     "after a watch that broke the whole list is wanted, which needs no wait": f"""
         s1 {EXPECT_WHOLE_LIST} {EXPECT_REST_OF_HEAD.format(1)}
         s1 send {ANSWER}
-        s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1
+        s1 expect GET /registry/instances?index=4&wait=500 HTTP/1.1
         s1 reset
         within 350 s2 {EXPECT_WHOLE_LIST}""",
     "after a watch that fell silent, too": f"""
         s1 {EXPECT_WHOLE_LIST} {EXPECT_REST_OF_HEAD.format(1)}
         s1 send {ANSWER}
-        s1 expect GET /registry/instances?index=4&wait=2000 HTTP/1.1
+        s1 expect GET /registry/instances?index=4&wait=500 HTTP/1.1
         wait 3850
         within 20 s2 {EXPECT_WHOLE_LIST}""",
 }
--- a/tests/policy/test_list_lease.py
+++ b/tests/policy/test_list_lease.py
@@ -51,6 +51,13 @@
     return driver
 
 
+def refuse_calls_for(driver: BalancerDriver, duration_ms: float) -> None:
+    """Discovery refuses each call at once for so long."""
+    end = driver.now + duration_ms
+    while driver.now < end:
+        driver.wait(min(fail(driver, ListFailure.UNREACHABLE), end - driver.now))
+
+
 def test_nothing_new_is_sent_once_a_drain_may_count_as_notified() -> None:
     driver = start()
     confirm(driver)
@@ -88,7 +95,7 @@
     confirm(driver)
     for _ in range(60):
         pause = fail(driver.wait(300.0), ListFailure.UNREACHABLE)
-        assert pause <= 800.0
+        assert pause <= 400.0
         driver.wait(pause)
         assert driver.endpoint_of(driver.request()) == "a"
 
@@ -176,7 +183,7 @@
             confirm(driver)
             observed_until = driver.now
         elif event == "refuse":
-            if driver.now - observed_until <= 1200.0:
+            if driver.now - observed_until <= 800.0:
                 observed_until = driver.now
             fail(driver, ListFailure.UNREACHABLE)
         elif event == "fail":
@@ -193,3 +200,37 @@
         driver = start(230, seed)
         driver.run_timers(MAX_LIST_AGE_MS / 2 + DRAIN_GRACE_MS)
         assert driver.actions_of(WatchEndpointList)
+
+
+def test_a_reset_of_a_watch_that_may_have_been_silent_does_not_extend_the_lease() -> None:
+    """Guards against work for draining servers after a silent watch that an outage of discovery ended."""
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.wait(1500.0)
+    driver.handle_event(EndpointListUpdate(UpdateKind.FAILED, ended_watch=True))
+    refuse_calls_for(driver, MAX_LIST_AGE_MS + DRAIN_GRACE_MS - 1500.0)
+    assert driver.endpoint_of(driver.request()) is None
+
+
+def test_a_watch_that_was_answered_shortly_before_an_outage_keeps_the_list_usable() -> None:
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.wait(500.0)
+    driver.handle_event(EndpointListUpdate(UpdateKind.FAILED, ended_watch=True))
+    refuse_calls_for(driver, 10 * MAX_LIST_AGE_MS)
+    assert driver.endpoint_of(driver.request()) == "a"
+
+
+def test_the_end_of_a_watch_alone_does_not_extend_the_lease() -> None:
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.wait(500.0)
+    driver.handle_event(EndpointListUpdate(UpdateKind.FAILED, ended_watch=True))
+    assert driver.endpoint_of(driver.wait(MAX_LIST_AGE_MS + DRAIN_GRACE_MS - 500.0).request()) is None
+
+
+def test_a_list_that_discovery_never_confirmed_is_not_extended_by_refusals() -> None:
+    """Guards against work for servers that began to drain before this process started in an outage."""
+    driver = start(balancer_count=3)
+    refuse_calls_for(driver, MAX_LIST_AGE_MS + DRAIN_GRACE_MS)
+    assert driver.endpoint_of(driver.request()) is None
--- a/walkloom/discovery/call.py
+++ b/walkloom/discovery/call.py
@@ -73,7 +73,11 @@
 
     @property
     def ended_watch(self) -> bool:
-        """Whether discovery ended a watch that was open until now."""
+        """Whether discovery itself ended a watch.
+
+        This shows the state of discovery at the end of the call only. The watch may have been silent since
+        the previous response, and an end by discovery reaches a silent watch, too.
+        """
         return self.continues_watch and self._is_refusal
 
     @property
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -14,10 +14,11 @@
 
 from walkloom.config import SettingNames
 from walkloom.discovery.address_book import AddressBook
-from walkloom.discovery.call import MAX_WATCH_GAP_S, Call
+from walkloom.discovery.call import MAX_REFUSAL_DELAY_S, MAX_WATCH_GAP_S, Call, FailedCall
 from walkloom.discovery.call_log import CallLog
+from walkloom.discovery.call_timeout import CallTimeout
 from walkloom.discovery.codec import EndpointListResponse, decode
-from walkloom.discovery.errors import CallStalledError, DiscoveryError
+from walkloom.discovery.errors import CallStalledError, ConnectRefusedError, DiscoveryError
 from walkloom.discovery.http_connection import DiscoveryConnection, ReceivedList
 from walkloom.engine.engine import Engine
 from walkloom.messages import EndpointId, EndpointListUpdate, UpdateKind
@@ -27,14 +28,6 @@
 
 log = logging.getLogger("walkloom")
 
-# How long a call may take; discovery may hold it for 2 s of this time. A change that a silent watch misses
-# counts as received 6 s after the watch fell silent. The time that remains until then lets discovery answer
-# the queued calls of all balancers that reopen their watches.
-CALL_TIMEOUT_S = 3.8
-
-# Upper limit of the time in which the agent of a pushed list must answer a call that it may not hold.
-MAX_AGENT_TIMEOUT_S = 1.8
-
 # Minimum time from one call to the next while discovery answers at once and without changes. The watch
 # continues without a gap if the next call begins within 0.2 s.
 MIN_EMPTY_CALL_INTERVAL_S = 0.1
@@ -66,11 +59,8 @@
         # Set by the first list that discovery itself sent.
         self._first_list_received = trio.Event()
 
-        # An agent on this machine has the pushed list and answers at once unless it is silent. This balancer
-        # counts as notified of a change as soon as the agent has it, and must obey a drain once the drain
-        # grace has passed since then. The agent's time limit is therefore half of the drain grace.
         self._list_is_pushed = not engine.settings.polls_endpoint_list
-        self._agent_timeout_s = min(engine.settings.drain_grace_ms / 2.0 / 1000.0, MAX_AGENT_TIMEOUT_S)
+        self._timeout = CallTimeout(engine.settings.drain_grace_ms)
 
     def address(self, endpoint_id: EndpointId) -> SocketAddress | None:
         """Return an endpoint's address; None if the endpoint is not on the list."""
@@ -102,7 +92,7 @@
         list, but no longer than a call to the agent may take.
         """
         if self._list_is_pushed:
-            with trio.move_on_after(self._agent_timeout_s):
+            with trio.move_on_after(self._timeout.agent_timeout_s):
                 await self._first_list_received.wait()
 
     async def run(self) -> None:
@@ -151,10 +141,31 @@
                 if not self._call.continues_watch and (has_stalled or self._list_is_pushed):
                     raise
                 has_stalled = True
+                self._timeout.record_stall(self._call)
                 self._record_failure("stalled", stalled=True)
+            except DiscoveryError as error:
+                if self._failed_call(error).ended_watch:
+                    await self._check_reachable()
+                raise
             finally:
                 await connection.close()
 
+    async def _check_reachable(self) -> None:
+        """Connect without a call after discovery ended a watch; raises ConnectRefusedError if it is down.
+
+        The next call waits for its turn among the calls of all balancers. Without this check, an outage that
+        began with the end of the watch would be observed too late for the list lease.
+        """
+        with trio.move_on_after(MAX_REFUSAL_DELAY_S):
+            try:
+                connection = await DiscoveryConnection.open(self._discovery)
+            except ConnectRefusedError:
+                raise
+            except (DiscoveryError, OSError) as error:
+                log.info("discovery_check_failed error=%r", str(error) or repr(error))
+            else:
+                await connection.close()
+
     async def _poll(self, connection: DiscoveryConnection) -> None:
         """Make calls over one connection until it closes, or discovery is changed.
 
@@ -167,6 +178,7 @@
                 return
             response = decode(received.body, self._names)
             self._answered_at = trio.current_time()
+            self._timeout.record_answer(self._call, self._answered_at)
             self._call_log.record_answer(
                 self._call.started_at, self._answered_at, response.generation, len(response.update.endpoints)
             )
@@ -206,9 +218,10 @@
         return received
 
     def _call_timeout_s(self) -> float:
-        """Return how long the next call may take."""
-        agent_must_answer_at_once = self._list_is_pushed and self._generation is None
-        return self._agent_timeout_s if agent_must_answer_at_once else CALL_TIMEOUT_S
+        """Return how long the latest call may take."""
+        if self._list_is_pushed and self._generation is None:
+            return self._timeout.agent_timeout_s
+        return self._timeout.limit_s(self._call)
 
     def _confirmed_update(self, response: EndpointListResponse, received: ReceivedList) -> EndpointListUpdate:
         """Return the response's update with the time of its confirmation and the queue time of the call."""
@@ -234,19 +247,21 @@
 
     def _report_failure(self, error: Exception) -> None:
         """Log a failed call and report the failure to the policy."""
-        failed_call = self._call.to_failed_call(
-            error, trio.current_time(), is_agent_call=self._list_is_pushed
-        )
+        failed_call = self._failed_call(error)
         self._record_failure(str(error) or repr(error), stalled=isinstance(error, CallStalledError))
         self._engine.endpoint_list_updated(
             EndpointListUpdate(
                 UpdateKind.FAILED,
                 failure=failed_call.failure,
                 call_ms=failed_call.duration_s * 1000.0,
-                watched_until=self._engine.now() if failed_call.ended_watch else None,
+                ended_watch=failed_call.ended_watch,
             )
         )
 
+    def _failed_call(self, error: Exception) -> FailedCall:
+        """Return the latest call as a failed one."""
+        return self._call.to_failed_call(error, trio.current_time(), is_agent_call=self._list_is_pushed)
+
     def _record_failure(self, error: str, *, stalled: bool = False) -> None:
         """Log a failed or stalled call; the last list stays the current one."""
         self._call_log.record_failure(
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -125,6 +125,13 @@
         _mode(DiscoveryMode.UNAVAILABLE, FAULT_OFFSET_S + 1.0),
         _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
     ),
+    "watches_silent_and_then_an_outage": lambda: _plan(
+        _deployment(balancer_count=3),
+        _silence(),
+        _mode(DiscoveryMode.REFUSING, FAULT_OFFSET_S + 1.5),
+        drain_offset_s=FAULT_OFFSET_S + 0.5,
+        drained=DRAINED[:2],
+    ),
     "pushed_agent_silent_until_the_end": lambda: _plan(
         _deployment(is_pushed=True),
         _mode(DiscoveryMode.SILENT, AFTER_FIRST_CALLS_S),
--- a/walkloom/messages/events.py
+++ b/walkloom/messages/events.py
@@ -107,8 +107,9 @@
     # FAILED only: what the failure shows about discovery.
     failure: ListFailure = ListFailure.UNANSWERED
 
-    # FAILED only: the time until which a watch was open on a working connection, ms; None: no watch was.
-    watched_until: float | None = None
+    # FAILED only: discovery itself ended a watch. It is down now, or it ended the watch alone; the watch may
+    # have been silent since the previous answer.
+    ended_watch: bool = False
 
 
 class Request(NamedTuple):
--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -5,11 +5,11 @@
 from walkloom.policy import list_lease, migration, slow_start
 from walkloom.state import BalancerState, TimerToken
 
-MAX_WATCH_HOLD_MS = 2000.0  # for which discovery may hold a call while nothing changes
+MAX_WATCH_HOLD_MS = 500.0  # for which discovery may hold a call; an answer confirms the list (list_lease)
 MAX_LEASE_SHARE = 0.5  # of the remaining lease that a pause or a hold may take, so that another call fits in
 WATCH_BACKOFF_MS = 200.0  # longest pause after the first failed call; doubles after each further one
 MAX_BACKOFF_DOUBLINGS = 10
-MAX_PAUSE_IF_UNREACHABLE_MS = 800.0  # frequent calls cost discovery little if it refuses them at once
+MAX_PAUSE_IF_UNREACHABLE_MS = 400.0  # frequent calls cost discovery little if it refuses them at once
 MAX_PAUSE_IF_OVERLOADED_MS = 30_000.0
 EQUAL_PAUSES_IF_OVERLOADED = 4  # number of pauses of equal length before they double
 QUEUE_MARGIN = 1.25  # factor by which the rate of calls stays below the rate that discovery answered
--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -1,16 +1,20 @@
 """How old the endpoint list may be; both placement and the pauses between calls to discovery follow from it.
 
 The lease starts when discovery confirms the list. It expires before a change that happened right after the
-confirmation could count as notified and outlive its drain grace (rule 3). While discovery is observed to be
-down, no balancer can learn of a change, and the lease is extended. After the lease has expired, nothing new
-is sent until discovery answers: clients are rejected.
+confirmation could count as notified and outlive its drain grace (rule 3). After the lease has expired,
+nothing new is sent until discovery answers: clients are rejected.
+
+Two kinds of observations of discovery count: an answer, and a call that discovery itself ended. While it
+refuses calls at once and was observed without a gap since its last answer, no balancer can learn of a
+change, and the lease is extended. A watch shows nothing between two answers, as it may have been silent,
+and the cached list nothing at all.
 """
 
-from walkloom.messages.events import EndpointListUpdate, ListFailure
+from walkloom.messages.events import EndpointListUpdate, ListFailure, UpdateKind
 from walkloom.state import BalancerState
 
-# Discovery counts as down for the whole time between two observations that are no further apart than this.
-MAX_UNOBSERVED_MS = 1200.0
+# Between two observations that are further apart than this, changes may have been missed.
+MAX_UNOBSERVED_MS = 800.0
 # Multiplies the configured poll interval after a failed call. The platform sets this rule.
 FAILED_CALL_FACTOR = 4.0
 
@@ -37,7 +41,9 @@
     if update.call_ms > 0:
         lease.call_ms = min(update.call_ms, lease.call_ms or update.call_ms)
     if is_limited(state) and update.confirmed_at is not None:
-        _extend(state, update.confirmed_at, state.settings.max_list_age_ms)
+        lease.is_confirmed = update.kind is not UpdateKind.CACHED
+        lease.observed_until = max(lease.observed_until, update.confirmed_at)
+        _extend(state, state.settings.max_list_age_ms)
 
 
 def record_failure(state: BalancerState, update: EndpointListUpdate) -> None:
@@ -46,19 +52,19 @@
     lease.failures += 1
     if not is_limited(state):
         return
-    if update.watched_until is not None:
-        lease.observed_until = max(lease.observed_until, update.watched_until)
-    has_no_gap = state.now - lease.observed_until <= MAX_UNOBSERVED_MS
-    if update.failure is ListFailure.UNREACHABLE and has_no_gap and is_valid(state):
-        _extend(state, state.now, _max_age_after_failure_ms(state))
+    is_down = update.failure is ListFailure.UNREACHABLE
+    has_no_gap = lease.is_confirmed and state.now - lease.observed_until <= MAX_UNOBSERVED_MS
+    if has_no_gap and is_valid(state) and (is_down or update.ended_watch):
+        lease.observed_until = state.now
+        if is_down:
+            _extend(state, _max_age_after_failure_ms(state))
     # without an open watch the limit from the configured poll interval may be the shorter one
     limit = lease.observed_until + _max_age_after_failure_ms(state) + _grace_ms(state)
     lease.expires_at = min(lease.expires_at, limit)
 
 
-def _extend(state: BalancerState, observed_at: float, max_age_ms: float) -> None:
+def _extend(state: BalancerState, max_age_ms: float) -> None:
     lease = state.list_lease
-    lease.observed_until = max(lease.observed_until, observed_at)
     lease.expires_at = lease.observed_until + max_age_ms + _grace_ms(state)
 
 
--- a/walkloom/state/list_lease.py
+++ b/walkloom/state/list_lease.py
@@ -14,9 +14,12 @@
     # From this time no endpoint gets new work until discovery confirms the list again.
     expires_at: float = INFINITE_TIME
 
-    # Up to this time, without a gap, discovery is known to have sent all changes or to have been down.
+    # The last time at which discovery was observed: it answered, or it was down and there was no gap before.
     observed_until: float = -INFINITE_TIME
 
+    # Whether discovery itself sent or confirmed the list. Until then a refused call extends no lease.
+    is_confirmed: bool = False
+
     # Number of consecutive failed calls.
     failures: int = 0
 
