Limit a former discovery's list to 4 s after SIGHUP, and call again within the lease

Callers saw: after SIGHUP moved discovery and the first call to the new one waited for 3 s and failed, new work went to servers that had begun to drain 0.1 s after SIGHUP, up to 5.7 s after it (bound 4.55 s). Others were rejected for up to 1.5 s until the next call.

Cause: EndpointWatcher.change_discovery replaced address and version, but the lease of the list went on from the last answer of the former discovery: the engine reported an empty update, which the lease took for a success. Evidence: in the log of the released program the lease has 2.9 s left at 3.0 s after SIGHUP; the 503 is followed by a pause of 1.5 to 4.4 s.

Change: a typed event, DiscoveryChanged, limits the lease to 4 s and the grace and marks the list as unconfirmed until the present discovery answers; refusals and a further SIGHUP give no more time. After a late 503 the next call comes within half of what is left of the lease, where a call's duration is known and the calls of all balancers fit in. A call to the new discovery never counts as one that continues a watch of the former. The soak's checker holds asked lists to the 4 s as well.

Why it works: the limit depends on SIGHUP alone and ends only with an answer of the discovery that is called now.

--- a/tests/lab/test_soak_checker.py
+++ b/tests/lab/test_soak_checker.py
@@ -92,6 +92,10 @@
     return ListChanged(at, 3, server, Lifecycle.DRAINING)
 
 
+def reload(at: float) -> ProcessSignalled:
+    return ProcessSignalled(at, "n0", "SIGHUP")
+
+
 SOUND = (SENT, *attempt(10.01), answered(10.03))
 
 
@@ -109,6 +113,21 @@
         [],
     ),
     "discovery went down after the drain": ([drained(3.4), DiscoveryReachable(3.5, "n0", False)], ["drain"]),
+    "a reload less than 4 s before the grace": ([reload(5.5), drained(5.6)], []),
+    "a reload, past 4 s": ([reload(5.4), drained(5.5)], ["drain"]),
+    "a drain in an outage, past 4 s after a reload": (
+        [DiscoveryReachable(5.0, "n0", False), reload(5.4), drained(5.5)],
+        ["drain"],
+    ),
+    "two reloads, the first past 4 s": ([reload(5.4), drained(5.5), reload(8.0)], ["drain"]),
+    "a reload that was answered before the drain": (
+        [reload(5.4), ListWritten(5.5, "n0", 2), drained(5.6)],
+        [],
+    ),
+    "a reload of the process before": (
+        [reload(5.4), drained(5.5), ProcessStarted(9.0, "n0", 2), ProcessReady(9.5, "n0")],
+        [],
+    ),
     "the server is ready again": ([drained(3.4), ListChanged(9.9, 4, "a", Lifecycle.READY)], []),
     "a process that started later": (
         [drained(3.4), ProcessStarted(9.0, "n0", 2), ProcessReady(9.5, "n0")],
--- a/tests/policy/test_list_lease.py
+++ b/tests/policy/test_list_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 
 import pytest
@@ -9,6 +10,7 @@
 from tests.helpers import BalancerDriver
 from walkloom.messages import (
     AnswerReason,
+    DiscoveryChanged,
     Endpoint,
     EndpointListUpdate,
     Lifecycle,
@@ -23,11 +25,13 @@
 A = Endpoint("a")
 MAX_LIST_AGE_MS = 6000.0
 DRAIN_GRACE_MS = 500.0
+RELOAD_NOTIFICATION_DELAY_MS = 4000.0
 # The platform's values for a site whose list is polled.
 POLLED = {
     "polls_endpoint_list": True,
     "max_poll_interval_ms": 10_000.0,
     "max_list_age_ms": MAX_LIST_AGE_MS,
+    "reload_notification_delay_ms": RELOAD_NOTIFICATION_DELAY_MS,
     "drain_grace_ms": DRAIN_GRACE_MS,
 }
 
@@ -36,6 +40,11 @@
     driver.handle_event(EndpointListUpdate(UpdateKind.INCREMENTAL, confirmed_at=driver.now))
 
 
+def confirmed(driver: BalancerDriver) -> BalancerDriver:
+    confirm(driver)
+    return driver
+
+
 def fail(
     driver: BalancerDriver, failure: ListFailure = ListFailure.UNANSWERED, call_ms: float = 0.0
 ) -> float:
@@ -171,17 +180,25 @@
 
 @pytest.mark.parametrize("seed", range(30))
 def test_no_sequence_of_faults_lets_a_list_be_used_past_its_lease(seed: int) -> None:
-    """Compared with a model: the newest confirmation, extended by refusals that leave no gap."""
+    """Compared with a model: the newest confirmation, extended by refusals that leave no gap.
+
+    A reload ends what came before it, at the latest 4 s after it; only a confirmation begins anew.
+    """
     random = Random(seed)
     driver = start(random.choice([1, 3, 40, 200]), seed, drain_grace_ms=random.choice([250.0, 500.0]))
     grace_ms = driver.settings.drain_grace_ms
     observed_until = driver.now
+    reload_limit = inf
     for _ in range(300):
         driver.wait(random.choice([20.0, 200.0, 900.0, 2500.0]))
-        event = random.choice(["confirm", "refuse", "refuse", "fail", "fail", "request", "request"])
+        event = random.choice(["confirm", "refuse", "refuse", "fail", "fail", "reload", "request", "request"])
         if event == "confirm":
             confirm(driver)
             observed_until = driver.now
+            reload_limit = inf
+        elif event == "reload":
+            driver.handle_event(DiscoveryChanged())
+            reload_limit = min(reload_limit, driver.now + RELOAD_NOTIFICATION_DELAY_MS + grace_ms)
         elif event == "refuse":
             if driver.now - observed_until <= 800.0:
                 observed_until = driver.now
@@ -192,7 +209,7 @@
             before = len(driver.actions_of(StartAttempt))
             driver.request()
             if len(driver.actions_of(StartAttempt)) > before:
-                assert driver.now <= observed_until + MAX_LIST_AGE_MS + grace_ms
+                assert driver.now <= min(observed_until + MAX_LIST_AGE_MS + grace_ms, reload_limit)
 
 
 def test_a_balancer_calls_within_its_lease_after_its_start() -> None:
@@ -234,3 +251,60 @@
     driver = start(balancer_count=3)
     refuse_calls_for(driver, MAX_LIST_AGE_MS + DRAIN_GRACE_MS)
     assert driver.endpoint_of(driver.request()) is None
+
+
+def test_a_list_of_a_former_discovery_is_not_used_past_the_limit_after_a_reload() -> None:
+    """Guards against work for draining servers as the first call to a new discovery fails late."""
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.handle_event(DiscoveryChanged())
+    assert driver.actions_of(WatchEndpointList)
+    assert driver.endpoint_of(driver.wait(RELOAD_NOTIFICATION_DELAY_MS).request()) == "a"
+    assert driver.endpoint_of(driver.wait(DRAIN_GRACE_MS).request()) is None
+
+
+def test_a_second_reload_gives_a_list_of_a_former_discovery_no_more_time() -> None:
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.handle_event(DiscoveryChanged())
+    driver.wait(3000.0).handle_event(DiscoveryChanged())
+    driver.wait(RELOAD_NOTIFICATION_DELAY_MS + DRAIN_GRACE_MS - 3000.0)
+    assert driver.endpoint_of(driver.request()) is None
+
+
+def test_a_reload_gives_an_old_list_no_more_time() -> None:
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.wait(5000.0).handle_event(DiscoveryChanged())
+    assert driver.endpoint_of(driver.wait(MAX_LIST_AGE_MS + DRAIN_GRACE_MS - 5000.0).request()) is None
+
+
+def test_a_reload_in_an_outage_limits_the_list_although_the_new_discovery_refuses_calls() -> None:
+    driver = start(balancer_count=3)
+    confirm(driver)
+    refuse_calls_for(driver, 2 * MAX_LIST_AGE_MS)
+    driver.handle_event(DiscoveryChanged())
+    refuse_calls_for(driver, RELOAD_NOTIFICATION_DELAY_MS + DRAIN_GRACE_MS)
+    assert driver.endpoint_of(driver.request()) is None
+
+
+def test_an_answer_of_the_new_discovery_makes_its_list_usable_again() -> None:
+    driver = start(balancer_count=3)
+    confirm(driver)
+    driver.handle_event(DiscoveryChanged())
+    confirm(driver.wait(RELOAD_NOTIFICATION_DELAY_MS + DRAIN_GRACE_MS))
+    assert driver.endpoint_of(driver.wait(MAX_LIST_AGE_MS).request()) == "a"
+    refuse_calls_for(confirmed(driver), 2 * MAX_LIST_AGE_MS)
+    assert driver.endpoint_of(driver.request()) == "a"
+
+
+def test_a_call_that_fails_late_after_a_reload_is_repeated_within_the_lease() -> None:
+    for seed in range(50):
+        driver = start(balancer_count=3, seed=seed)
+        driver.handle_event(
+            EndpointListUpdate(UpdateKind.SNAPSHOT, (A,), confirmed_at=driver.now, call_ms=2.0)
+        )
+        driver.handle_event(DiscoveryChanged())
+        driver.wait(3000.0)
+        driver.wait(fail(driver, ListFailure.OVERLOADED, call_ms=3000.0))
+        assert driver.endpoint_of(driver.request()) == "a"
--- a/walkloom/balancer.py
+++ b/walkloom/balancer.py
@@ -13,6 +13,7 @@
     ClientDisconnected,
     ConnectionAdopted,
     ConnectionSignal,
+    DiscoveryChanged,
     EndpointId,
     EndpointListUpdate,
     Event,
@@ -117,6 +118,10 @@
         migration.record_delay(state, attempt.endpoint, event.value)
 
 
+def _receive_discovery_changed(state: BalancerState, _: DiscoveryChanged) -> None:
+    endpoint_watch.receive_discovery_change(state)
+
+
 def _receive_load_report(state: BalancerState, event: LoadReportReceived) -> None:
     if endpoint := state.endpoints.by_id.get(event.endpoint_id):
         state.record_report(
@@ -157,6 +162,7 @@
     ClientDisconnected: _receive_client_disconnected,
     ConnectionAdopted: _receive_connection_adopted,
     ConnectionSignal: _receive_signal,
+    DiscoveryChanged: _receive_discovery_changed,
     EndpointListUpdate: endpoint_watch.receive_update,
     LoadReportReceived: _receive_load_report,
     Request: _receive_request,
--- a/walkloom/config.py
+++ b/walkloom/config.py
@@ -39,6 +39,9 @@
 # watch became silent.
 MAX_LIST_AGE_MS = 6000.0
 
+# By the platform's rule, everything that discovery has counts as notified this long after a SIGHUP.
+RELOAD_NOTIFICATION_DELAY_MS = 4000.0
+
 # By the platform's rule, the process may stall this long between reading its clock and writing.
 MAX_STALL_MS = 150.0
 
@@ -231,6 +234,7 @@
         server_reports_latency=False,
         max_stall_ms=MAX_STALL_MS,
         max_list_age_ms=MAX_LIST_AGE_MS,
+        reload_notification_delay_ms=RELOAD_NOTIFICATION_DELAY_MS,
     )
     names = SettingNames(
         classes=_parse_names(data, "classes"),
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -119,6 +119,7 @@
         """
         self._discovery = discovery
         self._generation = None  # another discovery does not know the versions of this one
+        self._answered_at = -math.inf  # and no call to it continues a watch of this one
         self._call_scope.cancel()
         self._engine.discovery_changed()
 
--- a/walkloom/engine/engine.py
+++ b/walkloom/engine/engine.py
@@ -30,6 +30,7 @@
     ClientKey,
     ConnectionAdopted,
     ConnectionSignal,
+    DiscoveryChanged,
     Endpoint,
     EndpointId,
     EndpointListUpdate,
@@ -195,11 +196,8 @@
     # Updates from discovery and the load report poller.
 
     def discovery_changed(self) -> None:
-        """Request the endpoint list at once, because another discovery serves it from now on."""
-        # An update without endpoints leaves the list unchanged but counts as a success. The policy then
-        # resets its backoff, which failed calls to the old discovery have lengthened.
-        self.endpoint_list_received(UpdateKind.INCREMENTAL)
-        self._watch_requested.set()
+        """Notify the policy that the discovery of a reloaded configuration serves the list from now on."""
+        self.dispatch(DiscoveryChanged())
 
     def endpoint_list_received(self, kind: UpdateKind, endpoints: Iterable[Endpoint] = ()) -> None:
         """Pass the policy an endpoint list update; endpoints: empty if the call for the list failed."""
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -108,6 +108,8 @@
     connections: list[_Connection] = field(default_factory=list)
     # The number of next calls that are answered with 503, whatever the mode.
     calls_to_fail: int = 0
+    # How long each of them waits for its answer.
+    failure_delay_s: float = 0.0
 
 
 class FaultyDiscovery:
@@ -201,10 +203,11 @@
                 connection.is_silenced = True
             self._history.add(WatchSilenced(trio.current_time(), caller.balancer))
 
-    def fail_next_calls(self, count: int) -> None:
-        """Answer the next `count` calls of each balancer with 503."""
+    def fail_next_calls(self, count: int, delay_s: float = 0.0) -> None:
+        """Answer the next `count` calls of each balancer with 503, each after `delay_s`."""
         for caller in self._callers.values():
             caller.calls_to_fail = count
+            caller.failure_delay_s = delay_s
 
     async def _reset(self, caller: _Caller) -> None:
         for connection in list(caller.connections):
@@ -262,6 +265,7 @@
             return False
         if caller.calls_to_fail > 0:
             caller.calls_to_fail -= 1
+            await trio.sleep(caller.failure_delay_s)
             return await self._answer_unavailable(caller, connection)
         if self.mode is DiscoveryMode.CROWDED and not await self._wait_in_queue():
             return await self._answer_unavailable(caller, connection)
--- a/walkloom/lab/soak/notices.py
+++ b/walkloom/lab/soak/notices.py
@@ -24,7 +24,8 @@
 
 # A change counts as notified at the latest this long after discovery had it and was reachable.
 MAX_NOTIFICATION_DELAY_S = 6.0
-# Pushed lists: within this time after a SIGHUP, a change that the agent has does not yet count as notified.
+# Whatever discovery has counts as notified this long after a SIGHUP. For a pushed list, a change that the
+# agent has does not count as notified before.
 RELOAD_NOTIFICATION_DELAY_S = 4.0
 # A failed call multiplies the poll interval that the settings allow by this factor.
 FAILED_CALL_FACTOR = 4.0
@@ -91,16 +92,21 @@
             for record in records.written
             if record.generation >= generation and record.at >= start.at
         )
-        possible_times = [min(written, default=math.inf), self._notification_deadline(records, changed_since)]
+        possible_times = [
+            min(written, default=math.inf),
+            self._notification_deadline(records, changed_since, start.at),
+        ]
         if not self._is_pushed:
             possible_times.append(self._notified_without_poll(records, changed_since, start.at))
         return min(possible_times)
 
-    def _notification_deadline(self, records: _BalancerRecords, changed_since: float) -> float:
+    def _notification_deadline(
+        self, records: _BalancerRecords, changed_since: float, started_at: float
+    ) -> float:
         """Return when the change counts as notified at the latest, whatever lists were written.
 
         The time limit starts once discovery has the change and is reachable. A polled list has
-        MAX_NOTIFICATION_DELAY_S. For a pushed list:
+        MAX_NOTIFICATION_DELAY_S, or less after a SIGHUP. For a pushed list:
         - If the open watches were silenced before and no call came since, the change counts as notified
           MAX_NOTIFICATION_DELAY_S after they were silenced, but not before discovery is reachable.
         - Shortly after a SIGHUP, it counts as notified RELOAD_NOTIFICATION_DELAY_S after the signal.
@@ -108,7 +114,10 @@
         """
         reachable_at = _first_reachable(records.reachable, changed_since)
         if not self._is_pushed:
-            return reachable_at + MAX_NOTIFICATION_DELAY_S
+            return min(
+                reachable_at + MAX_NOTIFICATION_DELAY_S,
+                _notified_after_reload(records, changed_since, started_at),
+            )
         silenced = [time for time in records.silenced if time <= reachable_at]
         if silenced and not any(silenced[-1] < call <= reachable_at for call in records.calls):
             return max(reachable_at, silenced[-1] + MAX_NOTIFICATION_DELAY_S)
@@ -146,6 +155,20 @@
     return max((start for start in starts if start.at <= at), key=lambda start: start.at, default=None)
 
 
+def _notified_after_reload(records: _BalancerRecords, changed_since: float, started_at: float) -> float:
+    """Return when a change counts as notified because of a SIGHUP; infinity if none applies.
+
+    A SIGHUP applies to changes before the first list that was written after it. The earliest one counts: a
+    further SIGHUP gives no more time.
+    """
+    for reload_at in records.reloads:
+        written = (record.at for record in records.written if record.at > reload_at)
+        applies_until = min(reload_at + RELOAD_NOTIFICATION_DELAY_S, min(written, default=math.inf))
+        if reload_at >= started_at and changed_since <= applies_until:
+            return reload_at + RELOAD_NOTIFICATION_DELAY_S
+    return math.inf
+
+
 def _first_reachable(states: list[DiscoveryReachable], since: float) -> float:
     """Return the first time from `since` on at which discovery was reachable; infinity if never."""
     is_reachable = True
--- a/walkloom/lab/soak/runner.py
+++ b/walkloom/lab/soak/runner.py
@@ -218,7 +218,7 @@
             case StepKind.SILENCE_WATCHES:
                 self._discovery.silence_watches()
             case StepKind.FAIL_CALLS:
-                self._discovery.fail_next_calls(step.count)
+                self._discovery.fail_next_calls(step.count, step.seconds)
             case StepKind.SNAPSHOTS:
                 self._discovery.sends_snapshots = bool(step.count)
             case _ if step.processes:
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -16,6 +16,8 @@
 from walkloom.lab.soak.schedule import MAX_STOP_S, Schedule, Step, StepKind
 
 SERVER_COUNT = 8
+# The longest time for which discovery lets a call wait.
+CALL_WAIT_S = 3.0
 DRAINED = tuple(range(SERVER_COUNT // 2))
 FAULT_OFFSET_S = 1.0
 # Offset of a fault that must come before the drain.
@@ -67,8 +69,8 @@
     return Step(offset_s, StepKind.SILENCE_WATCHES)
 
 
-def _fail_calls(count: int, offset_s: float = FAULT_OFFSET_S) -> Step:
-    return Step(offset_s, StepKind.FAIL_CALLS, count=count)
+def _fail_calls(count: int, offset_s: float = FAULT_OFFSET_S, delay_s: float = 0.0) -> Step:
+    return Step(offset_s, StepKind.FAIL_CALLS, count=count, seconds=delay_s)
 
 
 def _mode(mode: DiscoveryMode, offset_s: float = FAULT_OFFSET_S) -> Step:
@@ -112,6 +114,15 @@
     "reload_while_calls_fail": lambda: _plan(
         _deployment(), _reset(), _fail_calls(2), _reload(FAULT_OFFSET_S + 0.3)
     ),
+    "reload_and_a_call_that_fails_late": lambda: _plan(
+        _deployment(balancer_count=3),
+        # A change shortly before the reload is sent to all balancers, so that their lists are new.
+        Step(FAULT_OFFSET_S - 0.3, StepKind.DRAIN, servers=(SERVER_COUNT - 1,)),
+        _fail_calls(1, delay_s=CALL_WAIT_S),
+        Step(FAULT_OFFSET_S, StepKind.RELOAD, processes=(0, 1, 2)),
+        drain_offset_s=FAULT_OFFSET_S + 0.1,
+        drained=DRAINED[:2],
+    ),
     "a_small_fleet_and_six_failed_calls": lambda: _plan(
         _deployment(balancer_count=3), _reset(), _fail_calls(6)
     ),
--- a/walkloom/lab/soak/schedule.py
+++ b/walkloom/lab/soak/schedule.py
@@ -36,7 +36,7 @@
     DISCOVERY = "discovery"  # discovery_mode
     RESET_WATCHES = "reset_watches"
     SILENCE_WATCHES = "silence_watches"
-    FAIL_CALLS = "fail_calls"  # count
+    FAIL_CALLS = "fail_calls"  # count, seconds
     SNAPSHOTS = "snapshots"  # count: 1 on, 0 off
     SERVER_MODE = "server_mode"  # servers, server_mode
     RESET_SERVER = "reset_server"  # servers
@@ -83,7 +83,8 @@
     discovery_mode: DiscoveryMode = DiscoveryMode.HEALTHY
     server_mode: ServerMode = ServerMode.HEALTHY
     count: int = 1
-    # STOP, SYSTEM_CALLS: the duration. WALL_CLOCK: how far the clock is set ahead, or back where negative.
+    # STOP, SYSTEM_CALLS: the duration. FAIL_CALLS: how long each call waits.
+    # WALL_CLOCK: how far the clock is set ahead, or back where negative.
     seconds: float = 0.0
     system_call_fault: SystemCallFault | None = None
 
--- a/walkloom/messages/events.py
+++ b/walkloom/messages/events.py
@@ -112,6 +112,10 @@
     ended_watch: bool = False
 
 
+class DiscoveryChanged(NamedTuple):
+    """The configuration was reloaded; the endpoint list comes from the discovery that it names."""
+
+
 class Request(NamedTuple):
     """A client's request for a connection; it must get exactly one final answer before its deadline."""
 
@@ -258,6 +262,7 @@
 
 Event: TypeAlias = (
     EndpointListUpdate
+    | DiscoveryChanged
     | Request
     | ConnectionAdopted
     | AttemptEstablished
--- a/walkloom/messages/settings.py
+++ b/walkloom/messages/settings.py
@@ -96,6 +96,10 @@
     # Infinite on the simulator's wire, where no update is lost.
     max_list_age_ms: float = math.inf
 
+    # Everything that discovery has counts as notified this time after the configuration was reloaded, whether
+    # or not the balancer received it.
+    reload_notification_delay_ms: float = math.inf
+
     # Longest time for which the process may be stalled between the arrival of a byte and its reading, and
     # again between reading the clock and sending a byte. 0 where events have their own timestamps.
     max_stall_ms: float = 0.0
--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -36,6 +36,12 @@
     state.estimate_connection_cost(QUOTA_LOAD)
 
 
+def receive_discovery_change(state: BalancerState) -> None:
+    """Call the discovery of a reloaded configuration at once."""
+    list_lease.limit_after_reload(state)
+    state.actions.append(WatchEndpointList())
+
+
 def hold_ms(state: BalancerState) -> float:
     """Return how long discovery may hold the next call while nothing changes, ms; bounded by the lease."""
     return min(MAX_WATCH_HOLD_MS, MAX_LEASE_SHARE * list_lease.remaining_ms(state))
@@ -88,8 +94,20 @@
         limit_ms = max(MAX_PAUSE_IF_OVERLOADED_MS, 2.0 * queue_ms)
         # equal pauses at first: a discovery that is down may also look overloaded
         backoff_factor = 2.0 ** max(doublings - EQUAL_PAUSES_IF_OVERLOADED + 1, 0)
-        return min(max(event.call_ms, queue_ms) * backoff_factor, limit_ms)
+        return min(max(_overload_pause_ms(state, event), queue_ms) * backoff_factor, limit_ms)
     limit_ms = MAX_LEASE_SHARE * list_lease.remaining_ms(state)
     if not list_lease.is_valid(state):
         limit_ms = state.settings.max_list_age_ms
     return max(min(backoff_ms, limit_ms), queue_ms)
+
+
+def _overload_pause_ms(state: BalancerState, event: EndpointListUpdate) -> float:
+    """Return the pause that lets an overloaded discovery work off its queue, ms.
+
+    The queue is assumed to be as long as the call has waited. While the lease is valid and it is known how
+    long a call takes, the pause leaves time for another call.
+    """
+    if not state.list_lease.call_ms or not list_lease.is_valid(state):
+        return event.call_ms
+    lease_share_ms = MAX_LEASE_SHARE * list_lease.remaining_ms(state)
+    return min(event.call_ms, max(lease_share_ms, WATCH_BACKOFF_MS))
--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -8,6 +8,9 @@
 refuses calls at once and was observed without a gap since its last answer, no balancer can learn of a
 change, and the lease is extended. A watch shows nothing between two answers, as it may have been silent,
 and the cached list nothing at all.
+
+A list of a former discovery stops counting soon after the configuration was reloaded; refused calls do not
+change this, since only the present discovery can confirm the list.
 """
 
 from walkloom.messages.events import EndpointListUpdate, ListFailure, UpdateKind
@@ -46,6 +49,15 @@
         _extend(state, state.settings.max_list_age_ms)
 
 
+def limit_after_reload(state: BalancerState) -> None:
+    """Limit the lease of a list that the present discovery has not confirmed."""
+    lease = state.list_lease
+    lease.failures = 0
+    lease.is_confirmed = False
+    limit = state.now + state.settings.reload_notification_delay_ms + _grace_ms(state)
+    lease.expires_at = min(lease.expires_at, limit)
+
+
 def record_failure(state: BalancerState, update: EndpointListUpdate) -> None:
     """Record a call that returned no list."""
     lease = state.list_lease
