Let a call that continues a silent watch not end its silence in the soak's checker

Cause: the checker takes a change as notified at once if any call came since the watches fell silent. A watch that is silenced between an answer and the next call continues with that call, on the same silent connection.

Change: the stand-in notes on each call whether its connection is silenced, and such a call does not end the silence.

--- a/tests/lab/test_soak_checker.py
+++ b/tests/lab/test_soak_checker.py
@@ -167,6 +167,16 @@
     ]
 
 
+def test_a_call_that_continues_a_silent_watch_does_not_end_its_silence() -> None:
+    pushed = replace(DEPLOYMENT, is_pushed=True)
+    silenced = WatchSilenced(9.0, "n0")
+    continued = CallReceived(9.001, "n0", on_silent_watch=True)
+    assert broken_rules(silenced, continued, drained(9.4), *SOUND, deployment=pushed) == []
+    early = WatchSilenced(3.4, "n0")
+    continued = CallReceived(3.401, "n0", on_silent_watch=True)
+    assert broken_rules(early, continued, drained(3.5), *SOUND, deployment=pushed) == ["drain"]
+
+
 ANSWERS = {
     "late by less than half a second": ([SENT, answered(11.4, "BUSY")], []),
     "later": ([SENT, answered(11.6, "BUSY")], ["lost"]),
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -259,7 +259,7 @@
             if not data or len(head) > MAX_HEAD_BYTES:
                 return False
             head += data
-        self._history.add(CallReceived(trio.current_time(), caller.balancer))
+        self._history.add(CallReceived(trio.current_time(), caller.balancer, connection.is_silenced))
         match = _REQUEST_HEAD.match(head)
         if match is None:
             return False
--- a/walkloom/lab/soak/history.py
+++ b/walkloom/lab/soak/history.py
@@ -58,10 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallReceived:
-    """Discovery has received a complete call for the list."""
+    """Discovery has received a complete call for the list.
+
+    on_silent_watch: the call continues a watch that was silenced, so that it is not answered either.
+    """
 
     at: float
     balancer: str
+    on_silent_watch: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkloom/lab/soak/notices.py
+++ b/walkloom/lab/soak/notices.py
@@ -41,11 +41,18 @@
     written: list[ListWritten] = field(default_factory=list)
     reachable: list[DiscoveryReachable] = field(default_factory=list)
     calls: list[float] = field(default_factory=list)
+    # Those of the calls that are not part of a silent watch.
+    live_calls: list[float] = field(default_factory=list)
     # When each call ended, and whether its answer was written completely.
     call_ends: list[tuple[float, bool]] = field(default_factory=list)
     reloads: list[float] = field(default_factory=list)
     silenced: list[float] = field(default_factory=list)
 
+    def add_call(self, call: CallReceived) -> None:
+        self.calls.append(call.at)
+        if not call.on_silent_watch:
+            self.live_calls.append(call.at)
+
 
 class NotificationTimes:
     """Computes when a balancer counts as notified of a change."""
@@ -66,7 +73,7 @@
                 case DiscoveryReachable():
                     self._records_of(record.balancer).reachable.append(record)
                 case CallReceived():
-                    self._records_of(record.balancer).calls.append(record.at)
+                    self._records_of(record.balancer).add_call(record)
                 case WatchSilenced():
                     self._records_of(record.balancer).silenced.append(record.at)
                 case ProcessSignalled(name="SIGHUP"):
@@ -107,7 +114,7 @@
 
         The time limit starts once discovery has the change and is reachable. A polled list has
         MAX_NOTIFICATION_DELAY_S, or less after a SIGHUP. For a pushed list:
-        - If the open watches were silenced before and no call came since, the change counts as notified
+        - If the open watches were silenced before and no other call came since, the change counts as notified
           MAX_NOTIFICATION_DELAY_S after they were silenced, but not before discovery is reachable.
         - Shortly after a SIGHUP, it counts as notified RELOAD_NOTIFICATION_DELAY_S after the signal.
         - Otherwise it counts as notified at once.
@@ -119,7 +126,7 @@
                 _notified_after_reload(records, changed_since, started_at),
             )
         silenced = [time for time in records.silenced if time <= reachable_at]
-        if silenced and not any(silenced[-1] < call <= reachable_at for call in records.calls):
+        if silenced and not any(silenced[-1] < call <= reachable_at for call in records.live_calls):
             return max(reachable_at, silenced[-1] + MAX_NOTIFICATION_DELAY_S)
         reloads = [
             time for time in records.reloads if time <= reachable_at <= time + RELOAD_NOTIFICATION_DELAY_S
