--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -123,6 +123,20 @@
         drain_offset_s=FAULT_OFFSET_S + 0.1,
         drained=DRAINED[:2],
     ),
+    "reload_in_an_outage": lambda: _plan(
+        _deployment(balancer_count=3),
+        _mode(DiscoveryMode.REFUSING),
+        _reload(FAULT_OFFSET_S + 1.0),
+        drain_offset_s=FAULT_OFFSET_S + 0.9,
+        drained=DRAINED[:2],
+    ),
+    "reload_in_a_silence": lambda: _plan(
+        _deployment(balancer_count=3),
+        _mode(DiscoveryMode.SILENT),
+        _reload(FAULT_OFFSET_S + 0.5),
+        drain_offset_s=FAULT_OFFSET_S + 0.4,
+        drained=DRAINED[:2],
+    ),
     "a_small_fleet_and_six_failed_calls": lambda: _plan(
         _deployment(balancer_count=3), _reset(), _fail_calls(6)
     ),
