--- a/benchmarks/fleet_growth.py
+++ b/benchmarks/fleet_growth.py
@@ -97,9 +97,9 @@
     configuration = balancer_configuration(
         "n0", address, (discovery_host, int(port)), [], deployment.settings("here"), DESCRIPTOR_LIMIT
     )
-    configuration["known"] = discovery.snapshot()
+    configuration["known"] = discovery.registry.snapshot()
     process = SoakProcess("n0", address, folder, configuration, history)
-    process.start(discovery.generation)
+    process.start(discovery.registry.generation)
     return process
 
 
--- a/walkloom/lab/soak/discovery.py
+++ b/walkloom/lab/soak/discovery.py
@@ -22,6 +22,7 @@
     WatchSilenced,
 )
 from walkloom.lab.soak.hosts import LoopbackHost
+from walkloom.lab.soak.registry import Registry, ServerEntry
 from walkloom.transport.line_stream import RESET_ON_CLOSE
 
 MAX_HEAD_BYTES = 8192
@@ -64,30 +65,6 @@
 PUSHED_DOWN_MODES = (*DOWN_MODES, DiscoveryMode.SILENT)
 
 
-@dataclass
-class _ServerEntry:
-    """The registry's entry of a server."""
-
-    name: str
-    address: str
-    zone: str
-    lifecycle: Lifecycle
-    generation: int
-    started_at_unix_ms: float = 0.0
-
-    def to_wire(self) -> dict[str, object]:
-        return {
-            "instanceId": self.name,
-            "hostPort": self.address,
-            "zone": self.zone,
-            "machineType": "std-node",
-            "cell": 0,
-            "lifecycle": self.lifecycle.value,
-            "weight": 1.0,
-            "startedAtMs": self.started_at_unix_ms,
-        }
-
-
 @dataclass(eq=False)
 class _Connection:
     """One connection of a balancer."""
@@ -95,7 +72,6 @@
     stream: trio.SocketStream
     # The open watch on this connection is never answered.
     is_silenced: bool = False
-    is_in_call: bool = False
 
 
 @dataclass
@@ -129,44 +105,29 @@
         self.mode = DiscoveryMode.HEALTHY
         # Whether snapshots are sent instead of incremental updates.
         self.sends_snapshots = False
-        self.generation = 0
+        self.registry = Registry()
         # Total size of all lists that were written, with their HTTP heads.
         self.written_bytes = 0
         self._history = history
         self._nursery = nursery
-        self._entries: dict[str, _ServerEntry] = {}
         self._callers: dict[str, _Caller] = {}
         self._changed = trio.Event()
         self._queue_free_at = 0.0
 
     # The registry
 
-    def add_server(self, name: str, address: str, zone: str, started_at_unix_ms: float = 0.0) -> None:
+    def add_server(self, name: str, address: str, zone: str) -> None:
         """Add a server to the registry as ready."""
-        self._update_entry(_ServerEntry(name, address, zone, Lifecycle.READY, 0, started_at_unix_ms))
+        self._record_change(self.registry.add_server(name, address, zone))
 
     def set_lifecycle(self, name: str, lifecycle: Lifecycle, started_at_unix_ms: float = 0.0) -> None:
-        """Change the lifecycle of a server in the registry."""
-        entry = self._entries[name]
-        self._update_entry(
-            _ServerEntry(
-                name, entry.address, entry.zone, lifecycle, 0, started_at_unix_ms or entry.started_at_unix_ms
-            )
-        )
+        """Change the lifecycle of a server in the registry; started_at_unix_ms: 0 leaves it as it is."""
+        self._record_change(self.registry.set_lifecycle(name, lifecycle, started_at_unix_ms))
 
-    def _update_entry(self, entry: _ServerEntry) -> None:
-        self.generation += 1
-        entry.generation = self.generation
-        self._entries[entry.name] = entry
-        self._history.add(ListChanged(trio.current_time(), self.generation, entry.name, entry.lifecycle))
+    def _record_change(self, entry: ServerEntry) -> None:
+        self._history.add(ListChanged(trio.current_time(), entry.generation, entry.name, entry.lifecycle))
         self._wake_waiting_calls()
 
-    def snapshot(self) -> dict[str, object]:
-        """Return the whole list in its wire form."""
-        present = [entry for entry in self._entries.values() if entry.lifecycle is not Lifecycle.REMOVED]
-        instances = [entry.to_wire() for entry in present]
-        return {"generation": self.generation, "reset": True, "instances": instances}
-
     def _wake_waiting_calls(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -308,7 +269,7 @@
     async def _hold_watch(self, connection: _Connection, index: int, wait_s: float) -> None:
         """Wait for a change after generation `index`, a fault that ends the watch, or its timeout."""
         with trio.move_on_after(wait_s):
-            while self.generation <= index and self.mode is not DiscoveryMode.UNAVAILABLE:
+            while self.registry.generation <= index and self.mode is not DiscoveryMode.UNAVAILABLE:
                 await self._changed.wait()
         while connection.is_silenced or self.mode is DiscoveryMode.SILENT:
             await self._changed.wait()
@@ -320,8 +281,8 @@
             return await self._answer_unavailable(caller, connection)
         if self.mode is DiscoveryMode.ANSWERING_LATE:
             await trio.sleep(ANSWER_DELAY_S)
-        generation = self.generation
-        body = orjson.dumps(self._list_after(index))
+        generation = self.registry.generation
+        body = orjson.dumps(self.registry.list_after(None if self.sends_snapshots else index))
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         if self.mode is DiscoveryMode.CUT:
             await connection.stream.send_all(data[: -len(body) // 2])
@@ -340,12 +301,6 @@
         self._history.add(CallFailed(trio.current_time(), caller.balancer))
         return False
 
-    def _list_after(self, index: int | None) -> dict[str, object]:
-        if index is None or index > self.generation or self.sends_snapshots:
-            return self.snapshot()
-        changed = [entry.to_wire() for entry in self._entries.values() if entry.generation > index]
-        return {"generation": self.generation, "reset": False, "instances": changed}
-
 
 async def _trickle(stream: trio.SocketStream, data: bytes) -> None:
     for start in range(0, len(data), TRICKLE_BYTES):
--- a/walkloom/lab/soak/runner.py
+++ b/walkloom/lab/soak/runner.py
@@ -170,8 +170,8 @@
                 nursery.start_soon(process.wait_until_ready)
 
     def _start_process(self, process: SoakProcess) -> None:
-        process.configuration["known"] = self._discovery.snapshot()
-        process.start(self._discovery.generation)
+        process.configuration["known"] = self._discovery.registry.snapshot()
+        process.start(self._discovery.registry.generation)
 
     async def _run_clients(self, started_at: float) -> None:
         async with trio.open_nursery() as nursery:
