Do not take the early end of a watch for a refused call

Cause: a call that discovery ended within 0.25 s counted as refused at once, so discovery as down, also where the call continued a watch.

Change: only a new call can be refused at once. Whether discovery is down after the end of a watch is asked by the connect.

--- a/tests/discovery/test_call.py
+++ b/tests/discovery/test_call.py
@@ -41,6 +41,16 @@
     assert FailedCall(error, duration_s, continues_watch=False).failure is failure
 
 
+def test_the_end_of_a_watch_is_not_taken_for_a_refusal_however_soon_it_comes() -> None:
+    """Guards against a fleet that reopens its watches at once, unspread, after a reset."""
+    reset = FailedCall(ResponseIncompleteError(0), PROMPT_S, continues_watch=True)
+    unavailable = FailedCall(ResponseStatusError(503), PROMPT_S, continues_watch=True)
+    refused = FailedCall(ConnectRefusedError("h", 1), PROMPT_S, continues_watch=True)
+    assert reset.failure is ListFailure.UNANSWERED and reset.ended_watch
+    assert unavailable.failure is ListFailure.OVERLOADED and unavailable.ended_watch
+    assert refused.failure is ListFailure.UNREACHABLE
+
+
 def test_a_silent_agent_of_a_pushed_list_counts_as_down_but_not_if_a_watch_fell_silent() -> None:
     stalled = CallStalledError()
     assert (
--- a/walkloom/discovery/call.py
+++ b/walkloom/discovery/call.py
@@ -16,7 +16,9 @@
 )
 from walkloom.messages import ListFailure
 
-# If discovery is down, it refuses a call within this time. A later refusal means that the call was queued.
+# If discovery is down, it refuses a new call within this time. A later refusal means that the call was
+# queued.
+# The end of a watch is no refusal, however soon it comes: discovery may have ended the watch alone.
 MAX_REFUSAL_DELAY_S = 0.25
 
 
@@ -67,7 +69,7 @@
             return ListFailure.UNREACHABLE
         if isinstance(self.error, CallStalledError) and self.is_agent_call and not self.continues_watch:
             return ListFailure.UNREACHABLE
-        if self._is_refusal and self.duration_s <= MAX_REFUSAL_DELAY_S:
+        if self._is_refusal and not self.continues_watch and self.duration_s <= MAX_REFUSAL_DELAY_S:
             return ListFailure.UNREACHABLE
         return ListFailure.OVERLOADED if self._is_server_error else ListFailure.UNANSWERED
 
