Keep 1.2 s as the longest gap between two observations of an outage

Tests: test_an_outage_may_be_observed_less_often_once_it_has_been_seen fails without the change; the model test has both bounds.

Result: tests of policy, discovery and characterisation pass.

--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -16,8 +16,10 @@
 from walkloom.messages.events import EndpointListUpdate, ListFailure, UpdateKind
 from walkloom.state import BalancerState
 
-# Between two observations that are further apart than this, changes may have been missed.
-MAX_UNOBSERVED_MS = 800.0
+# Changes may have been missed where an outage is first observed this long after the last answer, or where two
+# observations of an outage are this far apart.
+MAX_UNCONFIRMED_MS = 800.0
+MAX_UNOBSERVED_MS = 1200.0
 # Multiplies the configured poll interval after a failed call. The platform sets this rule.
 FAILED_CALL_FACTOR = 4.0
 
@@ -44,6 +46,7 @@
     if update.call_ms > 0:
         lease.call_ms = min(update.call_ms, lease.call_ms or update.call_ms)
     if is_limited(state) and update.confirmed_at is not None:
+        lease.is_in_outage = False
         lease.is_confirmed = update.kind is not UpdateKind.CACHED
         lease.observed_until = max(lease.observed_until, update.confirmed_at)
         _extend(state, state.settings.max_list_age_ms)
@@ -65,9 +68,11 @@
     if not is_limited(state):
         return
     is_down = update.failure is ListFailure.UNREACHABLE
-    has_no_gap = lease.is_confirmed and state.now - lease.observed_until <= MAX_UNOBSERVED_MS
+    max_gap_ms = MAX_UNOBSERVED_MS if lease.is_in_outage else MAX_UNCONFIRMED_MS
+    has_no_gap = lease.is_confirmed and state.now - lease.observed_until <= max_gap_ms
     if has_no_gap and is_valid(state) and (is_down or update.ended_watch):
         lease.observed_until = state.now
+        lease.is_in_outage = True
         if is_down:
             _extend(state, _max_age_after_failure_ms(state))
     # without an open watch the limit from the configured poll interval may be the shorter one
--- a/walkloom/state/list_lease.py
+++ b/walkloom/state/list_lease.py
@@ -20,6 +20,9 @@
     # Whether discovery itself sent or confirmed the list. Until then a refused call extends no lease.
     is_confirmed: bool = False
 
+    # Whether an outage of discovery was observed without a gap since its last answer.
+    is_in_outage: bool = False
+
     # Number of consecutive failed calls.
     failures: int = 0
 
