--- a/review/stand_ins_2/discovery.py
+++ b/review/stand_ins_2/discovery.py
@@ -9,12 +9,15 @@
 import contextlib
 import json
 import re
+import socket
+import struct
 from dataclasses import asdict, dataclass, replace
 from typing import Any
 
 from stand_ins_2.ports import HOST, free_port
 from stand_ins_2.record import Record
 
+_RESET = struct.pack("ii", 1, 0)
 _HEAD = re.compile(r"GET /registry/instances(?:\?index=(\d+)&wait=(\d+(?:\.\d+)?))? HTTP/1\.1\r\n")
 MAX_WAIT_MS = 60_000.0
 
@@ -33,6 +36,23 @@
     startedAtMs: float = 0.0  # noqa: N815
 
 
+class _Connection:
+    """One connection of a balancer."""
+
+    def __init__(self, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.balancer = balancer
+        self.reader = reader
+        self.writer = writer
+        # The watch on it fell silent: nothing more is written.
+        self.is_silent = False
+
+    def reset(self) -> None:
+        with contextlib.suppress(OSError):
+            sock = self.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.writer.transport.abort()
+
+
 class Discovery:
     """The registry, and the addresses at which balancers call it."""
 
@@ -42,7 +62,9 @@
         self._entries: dict[str, Entry] = {}
         self._changed_in: dict[str, int] = {}
         self._change = asyncio.Event()
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: dict[str, asyncio.Server] = {}
+        self._ports: dict[str, int] = {}
+        self._connections: set[_Connection] = set()
         self.generation = 0
         self.is_down = False
         # When each version was first written to each balancer, s.
@@ -79,30 +101,53 @@
         self._record.add("discovery down" if is_down else "discovery back")
         self._wake()
 
+    def silence_watches(self) -> None:
+        """Let the connections that are open now fall silent; calls over new ones are answered."""
+        for connection in self._connections:
+            connection.is_silent = True
+        self._record.add(f"{len(self._connections)} watches fall silent")
+
+    async def refuse(self, is_down: bool) -> None:
+        """Begin an outage in which connections are reset and new ones refused, or end it. Raises OSError."""
+        self._record.add("discovery down, it refuses calls" if is_down else "discovery back")
+        if not is_down:
+            for balancer in self._ports:
+                await self._listen(balancer)
+            return
+        for listener in self._listeners.values():
+            listener.close()
+        self._listeners.clear()
+        for connection in list(self._connections):
+            connection.reset()
+
     def _wake(self) -> None:
         self._change.set()
         self._change = asyncio.Event()
 
     async def listen_for(self, balancer: str) -> str:
         """Listen at a new address for a balancer; return the address. Raises OSError."""
-        port = free_port()
+        self._ports[balancer] = free_port()
+        await self._listen(balancer)
+        return f"{HOST}:{self._ports[balancer]}"
 
+    async def _listen(self, balancer: str) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            connection = _Connection(balancer, reader, writer)
+            self._connections.add(connection)
             try:
                 with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                    while await self._serve_call(balancer, reader, writer):
+                    while await self._serve_call(connection):
                         pass
             finally:
+                self._connections.discard(connection)
                 writer.close()
 
-        self._listeners.append(await asyncio.start_server(serve, HOST, port))
-        return f"{HOST}:{port}"
+        self._listeners[balancer] = await asyncio.start_server(serve, HOST, self._ports[balancer])
 
-    async def _serve_call(
-        self, balancer: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bool:
+    async def _serve_call(self, connection: _Connection) -> bool:
         """Answer one call; return whether another one may follow."""
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("ascii", "replace")
+        balancer, writer = connection.balancer, connection.writer
+        head = (await connection.reader.readuntil(b"\r\n\r\n")).decode("ascii", "replace")
         match = _HEAD.match(head)
         if match is None:
             writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
@@ -113,6 +158,10 @@
             body = self.whole_list()
         else:
             body = await self._changes_after(int(match[1]), min(float(match[2]), MAX_WAIT_MS) / 1000.0)
+        while connection.is_silent:
+            await self._change.wait()
+            if writer.is_closing():
+                return False
         data = json.dumps(body).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data))
         at = self._record.now()
