--- a/review/7/play.py
+++ b/review/7/play.py
@@ -7,6 +7,7 @@
 import random
 import time
 from dataclasses import replace
+from pathlib import Path
 
 from stand_ins_2.balancers import Balancer
 from stand_ins_2.case import World, main
@@ -117,4 +118,4 @@
     world.record.add(f"{server.name}: {len(opens)} requests since its start, at most {worst} in a window")
 
 
-main(__file__, DEPLOYMENT, play)
+main(Path(__file__).resolve().parent / "record.txt", DEPLOYMENT, play)
--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -111,9 +111,9 @@
     return EXIT_BROKEN if world.broken else EXIT_HELD
 
 
-def main(case_file: str, deployment: Deployment, play: Callable[[World], Awaitable[None]]) -> None:
-    """Play a case, write its record beside `case_file`, and exit with its status."""
-    record = Record(Path(case_file).resolve().parent / "record.txt")
+def main(record_file: Path, deployment: Deployment, play: Callable[[World], Awaitable[None]]) -> None:
+    """Play a case, write `record_file`, and exit with its status."""
+    record = Record(record_file)
     folder = TemporaryFolder()
     status = EXIT_CANNOT_RUN
     verdict = "could not run"
--- a/review/stand_ins_2/servers.py
+++ b/review/stand_ins_2/servers.py
@@ -12,6 +12,9 @@
 from stand_ins_2.ports import HOST, free_port
 from stand_ins_2.record import Record
 
+BACKLOG = 256
+# Connections that fill the queue of a listener that accepts none.
+FILLERS = 4
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -41,7 +44,10 @@
         self.clients: dict[str, asyncio.StreamWriter] = {}
         self.opens: list[tuple[float, str]] = []
         self._record = record
-        self._listener: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._accepting: asyncio.Task[None]
+        self._may_accept = asyncio.Event()
+        self._fillers: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._counts: list[tuple[float, int]] = []
         self._report = b"PONG\r\n"
@@ -59,12 +65,58 @@
 
     async def start(self) -> None:
         """Listen; raises OSError if the port was taken meanwhile."""
-        self._listener = await asyncio.start_server(self._serve, HOST, self.port, backlog=256)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((HOST, self.port))
+        sock.listen(BACKLOG)
+        self._listener = sock
+        self._may_accept.set()
+        self._accepting = asyncio.create_task(self._accept(sock))
+
+    async def _accept(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        tasks: set[asyncio.Task[None]] = set()
+        while True:
+            await self._may_accept.wait()
+            connection, _ = await loop.sock_accept(sock)
+            reader, writer = await asyncio.open_connection(sock=connection)
+            task = asyncio.create_task(self._serve(reader, writer))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+    def set_late(self, is_late: bool) -> None:
+        """Let new connections come up only after this is taken back: the listener's queue is kept full."""
+        if self._listener is None or is_late != self._may_accept.is_set():
+            return
+        if is_late:
+            self._may_accept.clear()
+            self._listener.listen(0)
+            for _ in range(FILLERS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((HOST, self.port))
+                self._fillers.append(filler)
+            return
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._listener.listen(BACKLOG)
+        self._may_accept.set()
+
+    def drain(self) -> None:
+        """Begin to drain: turn new requests away and send all clients away at once."""
+        self.is_draining = True
+        self._record.add(f"server {self.name} begins to drain and sends {len(self.clients)} clients away")
+        for writer in list(self.clients.values()):
+            writer.write(b"MOVE\r\n")
+            writer.write_eof()
 
     def leave(self) -> None:
         """End the process: new connections are refused, and open ones are reset."""
         self._record.add(f"server {self.name} leaves with clients {sorted(self.clients) or 'none'}")
         if self._listener:
+            self._accepting.cancel()
             self._listener.close()
             self._listener = None
         for writer in list(self._writers):
