--- a/review/6/play.py
+++ b/review/6/play.py
@@ -31,8 +31,8 @@
 DRAINED = ("s-1", "s-2", "s-3", "s-4")
 CLIENT_INTERVAL_S = 0.1
 CLIENT_LIFE_S = 8.0
-# In s after the start: the drain at the servers, the end of the old process, the drain in the list (2.3 to 4.9 s
-# after it began), the outage, and the new process.
+# In s after the start: the drain at the servers, the end of the old process, the drain in the list (it comes
+# 2.3 to 4.9 s late), the outage, and the new process.
 DRAINED_AT_S, KILLED_AT_S, LISTED_AT_S, DOWN_AT_S, STARTED_AT_S = 1.0, 2.0, 3.4, 4.4, 5.4
 # Discovery is down for 8 s.
 OUTAGE_S = 8.0
