--- a/walkloom/balancer.py
+++ b/walkloom/balancer.py
@@ -34,6 +34,7 @@
     load_reports,
     migration,
     outlier_detection,
+    retry_safety,
 )
 from walkloom.state import BalancerState, LoadEstimator, TimerToken
 
@@ -72,7 +73,7 @@
         endpoint = self.state.endpoints.by_id.get(endpoint_id)
         if request is None or endpoint is None or request.is_disconnected:
             return False
-        is_allowed = dispatch.may_retry(self.state, request) and list_lease.is_valid(self.state)
+        is_allowed = retry_safety.may_retry(self.state, request) and list_lease.is_valid(self.state)
         return is_allowed and endpoint_selection.is_within_drain_grace(self.state, endpoint)
 
     def watch_hold_ms(self, now: float) -> float:
@@ -89,7 +90,7 @@
 def _receive_request(state: BalancerState, event: Request) -> None:
     if request := state.requests.add(event):
         state.count_request(request)
-        dispatch.recall_execution(state, request)
+        retry_safety.recall_execution(state, request)
         dispatch.place(state, request)
 
 
--- a/walkloom/policy/dispatch.py
+++ b/walkloom/policy/dispatch.py
@@ -3,10 +3,17 @@
 from walkloom.messages.actions import AnswerReason, Fail, Reject, StartAttempt
 from walkloom.messages.events import NEVER_RAN, AttemptEnded, AttemptStatus
 from walkloom.messages.settings import Idempotency
-from walkloom.policy import endpoint_selection, list_lease, load_polling, migration, outlier_detection
+from walkloom.policy import (
+    endpoint_selection,
+    list_lease,
+    load_polling,
+    migration,
+    outlier_detection,
+    retry_safety,
+)
 from walkloom.policy.load_reports import REPORT_MAX_AGE_MS
 from walkloom.policy.slow_start import RECOVERY_MS
-from walkloom.state import BalancerState, EndpointState, Execution, Placement, RequestState, TimerToken
+from walkloom.state import BalancerState, EndpointState, Placement, RequestState, TimerToken
 
 HOLD_INTERVAL_MS = 100.0  # between two rounds of placing the requests that wait for capacity
 HELD_REQUESTS_PER_INTERVAL = 8  # that still find no capacity before a round stops; bounds the work of a burst
@@ -47,7 +54,7 @@
         return AnswerReason.ATTEMPTS_USED
     if state.now >= latest_send_at:
         return AnswerReason.DEADLINE
-    return None if may_retry(state, request) else AnswerReason.NOT_REPEATABLE
+    return None if retry_safety.may_retry(state, request) else AnswerReason.NOT_REPEATABLE
 
 
 def _start_attempt(state: BalancerState, request: RequestState, endpoint: EndpointState) -> None:
@@ -68,16 +75,6 @@
     state.actions.append(StartAttempt(request.id, endpoint.id, timeout_ms))
 
 
-def may_retry(state: BalancerState, request: RequestState) -> bool:
-    """Whether one more attempt has no further effect after those that may have run (rule 2)."""
-    request_class = request.request_class
-    if request.may_have_run_at < 0 or request_class.idempotency is Idempotency.IDEMPOTENT:
-        return True
-    window_ends_at = request.may_have_run_at + request_class.deduplication_window_ms
-    is_in_window = state.now + 2 * state.settings.tick_ms < window_ends_at
-    return request_class.idempotency is Idempotency.WITH_KEY and is_in_window
-
-
 def answer(state: BalancerState, request: RequestState, reason: AnswerReason) -> None:
     """Give the final answer to a request with no running attempt: reject if a repeat is safe, else fail."""
     state.requests.remove(request.id)
@@ -104,29 +101,13 @@
     elif event.status is AttemptStatus.OK and not request.is_established:
         outlier_detection.record_success(state, endpoint, was_trial)
     if event.status not in NEVER_RAN and request.may_have_run_at < 0:
-        _record_execution(state, request, endpoint)
+        retry_safety.record_execution(state, request, endpoint)
     if event.request_closed or request.is_established or request.is_disconnected:
         state.requests.remove(event.request_id)
         return
     place(state, request)
 
 
-def _record_execution(state: BalancerState, request: RequestState, endpoint: EndpointState) -> None:
-    request.may_have_run_at = request.sent_at
-    request.may_have_run_on = endpoint if request.request_class.is_deduplicated_locally else None
-    key = request.request.idempotency_key
-    if key is not None and request.request_class.idempotency is not Idempotency.IDEMPOTENT:
-        execution = Execution(request.may_have_run_at, request.may_have_run_on)
-        state.executed_requests.record(key, execution)
-
-
-def recall_execution(state: BalancerState, request: RequestState) -> None:
-    """Treat a request that its client sends again like a retry, if it may have run before (rule 2)."""
-    if execution := state.executed_requests.find(request.request.idempotency_key):
-        request.may_have_run_at = execution.sent_at
-        request.may_have_run_on = execution.endpoint
-
-
 def place_held(state: BalancerState) -> None:
     """Place held requests again: some, and all that would be too late in the next round."""
     state.is_hold_timer_running = False
