Use a pushed list no longer than the grace after the last answer of its agent

Cause: policy/list_lease.py gave every list the 6 s of a polled one. The cached list of a new process got them without any answer, and a silent or refusing agent counted as an observation that extends the lease. A change of a pushed list counts as notified once the agent has it, and only an answer shows what it has.

Change: an answer confirms a pushed list from the start of its call, for the grace less a stall of the process; no failed call extends it, and the cached list has the grace from the start of the process. Calls are held for half of what is left, a watch that ended is reopened at once, and requests wait for the agent as long as their deadlines allow instead of being rejected. Polled lists are as before.

The check that a silent agent "does not stop new work" was wrong: watches reset as the silence begins look the same to a process as in pushed_watch_ends_just_before_the_drain_and_an_outage, where going on breaks rule 3. The soak's checker counts what the agent had before a process started from that start, and not from the end of the outage.

--- a/tests/discovery/test_call_timeout.py
+++ b/tests/discovery/test_call_timeout.py
@@ -35,3 +35,11 @@
 def test_the_agent_of_a_pushed_list_must_answer_within_a_part_of_the_drain_grace() -> None:
     assert CallTimeout(drain_grace_ms=500.0).agent_timeout_s == 0.25
     assert CallTimeout(drain_grace_ms=60_000.0).agent_timeout_s == 1.8
+    assert CallTimeout(drain_grace_ms=500.0, is_agent=True).limit_s(OPENING) == 0.25
+
+
+def test_a_silent_watch_of_a_pushed_list_is_reopened_within_a_part_of_the_drain_grace() -> None:
+    timeout = CallTimeout(drain_grace_ms=500.0, is_agent=True)
+    held = Call(STARTED_AT, hold_ms=100.0, continues_watch=True)
+    timeout.record_stall(held)
+    assert timeout.limit_s(held) == pytest.approx(0.225)
--- a/tests/lab/test_soak_checker.py
+++ b/tests/lab/test_soak_checker.py
@@ -167,6 +167,20 @@
     ]
 
 
+def test_what_the_agent_had_before_a_process_started_counts_from_its_start() -> None:
+    """Guards against a checker that takes an agent's silence for a list without the drain."""
+    pushed = replace(DEPLOYMENT, is_pushed=True)
+    outage = (drained(3.4), DiscoveryReachable(3.5, "n0", False))
+    early = (ProcessStarted(9.0, "n0", 2), ProcessReady(9.2, "n0"))
+    late = (ProcessStarted(9.6, "n0", 2), ProcessReady(9.8, "n0"))
+    assert broken_rules(*outage, *early, *SOUND, deployment=pushed) == ["drain"]
+    assert broken_rules(*outage, *late, *SOUND, deployment=pushed) == []
+    silenced_before = (WatchSilenced(3.3, "n0"), reload(8.9))
+    assert broken_rules(*silenced_before, *outage, *early, *SOUND, deployment=pushed) == ["drain"]
+    learned_later = (DiscoveryReachable(3.3, "n0", False), drained(3.4))
+    assert broken_rules(*learned_later, *early, *SOUND, deployment=pushed) == []
+
+
 def test_a_call_that_continues_a_silent_watch_does_not_end_its_silence() -> None:
     pushed = replace(DEPLOYMENT, is_pushed=True)
     silenced = WatchSilenced(9.0, "n0")
--- a/walkloom/discovery/call.py
+++ b/walkloom/discovery/call.py
@@ -8,12 +8,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from walkloom.discovery.errors import (
-    CallStalledError,
-    ConnectRefusedError,
-    ResponseIncompleteError,
-    ResponseStatusError,
-)
+from walkloom.discovery.errors import ConnectRefusedError, ResponseIncompleteError, ResponseStatusError
 from walkloom.messages import ListFailure
 
 # If discovery is down, it refuses a new call within this time. A later refusal means that the call was
@@ -44,9 +39,9 @@
         excess_ms = (answered_at - self.started_at) * 1000.0 - self.hold_ms
         return 0.0 if self.continues_watch else max(excess_ms, 0.0)
 
-    def to_failed_call(self, error: Exception, now: float, *, is_agent_call: bool = False) -> FailedCall:
-        """Return this call as a failed one; is_agent_call: it went to the agent of a pushed list."""
-        return FailedCall(error, now - self.started_at, self.continues_watch, is_agent_call)
+    def to_failed_call(self, error: Exception, now: float) -> FailedCall:
+        """Return this call as a failed one."""
+        return FailedCall(error, now - self.started_at, self.continues_watch)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,16 +54,11 @@
     # Whether the call continued a watch, as in Call.
     continues_watch: bool
 
-    # Whether the call went to the agent of a pushed list, which is silent while it receives no list itself.
-    is_agent_call: bool = False
-
     @property
     def failure(self) -> ListFailure:
         """Whether discovery appears to be down or overloaded, as far as this call shows."""
         if isinstance(self.error, ConnectRefusedError):
             return ListFailure.UNREACHABLE
-        if isinstance(self.error, CallStalledError) and self.is_agent_call and not self.continues_watch:
-            return ListFailure.UNREACHABLE
         if self._is_refusal and not self.continues_watch and self.duration_s <= MAX_REFUSAL_DELAY_S:
             return ListFailure.UNREACHABLE
         return ListFailure.OVERLOADED if self._is_server_error else ListFailure.UNANSWERED
--- a/walkloom/discovery/call_timeout.py
+++ b/walkloom/discovery/call_timeout.py
@@ -21,11 +21,18 @@
 # Upper limit of the time in which the agent of a pushed list must answer a call that it may not hold.
 MAX_AGENT_TIMEOUT_S = 1.8
 
+# Share of that time in which the agent must answer after it has held a call. It answers at once unless the
+# watch fell silent, and the list must be confirmed again within the drain grace (rule 3).
+HELD_AGENT_TIMEOUT_SHARE = 0.5
+
 
 class CallTimeout:
     """Chooses the time limit of each call of one balancer."""
 
-    def __init__(self, drain_grace_ms: float) -> None:
+    def __init__(self, drain_grace_ms: float, *, is_agent: bool = False) -> None:
+        """is_agent: the calls go to the agent of a pushed list."""
+        self._is_agent = is_agent
+
         # An agent on this machine has the pushed list and answers at once unless it is silent. This balancer
         # counts as notified of a change as soon as the agent has it, and must obey a drain once the drain
         # grace has passed since then. The agent's time limit is therefore half of the drain grace.
@@ -35,7 +42,11 @@
         self._is_prompt = True
 
     def limit_s(self, call: Call) -> float:
-        """Return how long a call may take that the agent of a pushed list need not answer at once, s."""
+        """Return how long a call may take, s."""
+        if self._is_agent:
+            if not call.hold_ms:
+                return self.agent_timeout_s
+            return call.hold_ms / 1000.0 + self.agent_timeout_s * HELD_AGENT_TIMEOUT_SHARE
         if not call.continues_watch:
             return OPENING_TIMEOUT_S
         answer_timeout_s = ANSWER_TIMEOUT_S if self._is_prompt else SLOW_ANSWER_TIMEOUT_S
--- a/walkloom/discovery/watcher.py
+++ b/walkloom/discovery/watcher.py
@@ -28,6 +28,9 @@
 
 log = logging.getLogger("walkloom")
 
+# Errors of a call that returned no list.
+CALL_ERRORS = (DiscoveryError, OSError, trio.BrokenResourceError, h11.ProtocolError)
+
 # Minimum time from one call to the next while discovery answers at once and without changes. The watch
 # continues without a gap if the next call begins within 0.2 s.
 MIN_EMPTY_CALL_INTERVAL_S = 0.1
@@ -60,7 +63,7 @@
         self._first_list_received = trio.Event()
 
         self._list_is_pushed = not engine.settings.polls_endpoint_list
-        self._timeout = CallTimeout(engine.settings.drain_grace_ms)
+        self._timeout = CallTimeout(engine.settings.drain_grace_ms, is_agent=self._list_is_pushed)
 
     def address(self, endpoint_id: EndpointId) -> SocketAddress | None:
         """Return an endpoint's address; None if the endpoint is not on the list."""
@@ -106,7 +109,7 @@
             with trio.CancelScope() as self._call_scope:
                 try:
                     await self._watch()
-                except (DiscoveryError, OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+                except CALL_ERRORS as error:
                     # A failure of a discovery that was just replaced says nothing about the current one.
                     if not self._call_scope.cancel_called:
                         self._report_failure(error)
@@ -132,24 +135,39 @@
         has_stalled = False
         while not self._call_scope.cancel_called:
             self._start_call()
-            connection = await DiscoveryConnection.open(self._discovery)
             try:
-                await self._poll(connection)
-            except CallStalledError:
-                # A silent watch is reopened without the pause that follows a failed call, because the changes
-                # that it misses soon count as received (rule 3). A stalled call that does not continue a
-                # watch is a failed call if an earlier one stalled too, or if it went to the agent.
-                if not self._call.continues_watch and (has_stalled or self._list_is_pushed):
+                await self._call_over_new_connection()
+            except CALL_ERRORS as error:
+                if not self._may_reopen_at_once(error, has_stalled):
+                    if self._failed_call(error).ended_watch and not self._list_is_pushed:
+                        await self._check_reachable()
                     raise
-                has_stalled = True
-                self._timeout.record_stall(self._call)
-                self._record_failure("stalled", stalled=True)
-            except DiscoveryError as error:
-                if self._failed_call(error).ended_watch:
-                    await self._check_reachable()
-                raise
-            finally:
-                await connection.close()
+                is_stalled = isinstance(error, CallStalledError)
+                if is_stalled:
+                    has_stalled = True
+                    self._timeout.record_stall(self._call)
+                self._record_failure(str(error) or repr(error), stalled=is_stalled)
+
+    async def _call_over_new_connection(self) -> None:
+        connection = await DiscoveryConnection.open(self._discovery)
+        try:
+            await self._poll(connection)
+        finally:
+            await connection.close()
+
+    def _may_reopen_at_once(self, error: Exception, has_stalled: bool) -> bool:
+        """Whether a failed call is repeated without the pause that the policy chooses.
+
+        A silent watch is reopened at once, because the changes that it misses soon count as received
+        (rule 3). What the agent of a pushed list has counts at once, so that its watch is reopened whatever
+        ended it. has_stalled: an earlier call since the last pause stalled.
+        """
+        if self._call_scope.cancel_called:
+            return False
+        if self._list_is_pushed:
+            return self._call.continues_watch
+        is_stalled = isinstance(error, CallStalledError)
+        return is_stalled and (self._call.continues_watch or not has_stalled)
 
     async def _check_reachable(self) -> None:
         """Connect without a call after discovery ended a watch; raises ConnectRefusedError if it is down.
@@ -198,12 +216,16 @@
     async def _delay_next_call(self, response: EndpointListResponse) -> None:
         """Delay the next call if discovery answers without holding calls, which would cause a busy loop.
 
-        Only the second consecutive response of this kind causes a delay, also across connections.
+        Only the second consecutive response of this kind causes a delay, also across connections. A call that
+        was to be held for a shorter time was answered in order.
         """
+        min_interval_s = MIN_EMPTY_CALL_INTERVAL_S
+        if self._call.hold_ms:
+            min_interval_s = min(min_interval_s, self._call.hold_ms / 1000.0)
         elapsed_s = trio.current_time() - self._call.started_at
-        is_premature = elapsed_s < MIN_EMPTY_CALL_INTERVAL_S and not response.update.endpoints
+        is_premature = elapsed_s < min_interval_s and not response.update.endpoints
         if is_premature and self._was_premature:
-            await trio.sleep(MIN_EMPTY_CALL_INTERVAL_S)
+            await trio.sleep(min_interval_s)
         self._was_premature = is_premature
 
     async def _fetch(self, connection: DiscoveryConnection) -> ReceivedList | None:
@@ -220,14 +242,17 @@
 
     def _call_timeout_s(self) -> float:
         """Return how long the latest call may take."""
-        if self._list_is_pushed and self._generation is None:
-            return self._timeout.agent_timeout_s
         return self._timeout.limit_s(self._call)
 
     def _confirmed_update(self, response: EndpointListResponse, received: ReceivedList) -> EndpointListUpdate:
-        """Return the response's update with the time of its confirmation and the queue time of the call."""
+        """Return the response's update with the time of its confirmation and the queue time of the call.
+
+        An agent may have had a change of a pushed list at any time after it was called, so its answer
+        confirms the list for the start of the call only.
+        """
+        confirmed_at = self._call.started_at if self._list_is_pushed else received.first_byte_at
         return response.update._replace(
-            confirmed_at=self._to_engine_time(received.first_byte_at),
+            confirmed_at=self._to_engine_time(confirmed_at),
             call_ms=self._call.queue_ms(received.first_byte_at),
         )
 
@@ -261,7 +286,7 @@
 
     def _failed_call(self, error: Exception) -> FailedCall:
         """Return the latest call as a failed one."""
-        return self._call.to_failed_call(error, trio.current_time(), is_agent_call=self._list_is_pushed)
+        return self._call.to_failed_call(error, trio.current_time())
 
     def _record_failure(self, error: str, *, stalled: bool = False) -> None:
         """Log a failed or stalled call; the last list stays the current one."""
@@ -270,8 +295,9 @@
         )
         if self._list_is_pushed:
             # Without a generation, an agent that answers again sends the complete list at once; with one it
-            # might hold the call until a change.
+            # might hold the call until a change. The next call continues no watch.
             self._generation = None
+            self._answered_at = -math.inf
 
 
 def _log_update(update: EndpointListUpdate) -> None:
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -20,6 +20,8 @@
 CALL_WAIT_S = 3.0
 DRAINED = tuple(range(SERVER_COUNT // 2))
 FAULT_OFFSET_S = 1.0
+# Within this time a balancer makes at most one call.
+LAST_CALL_S = 0.005
 # Offset of a fault that must come before the drain.
 BEFORE_DRAIN_S = 0.1
 # By this time all balancers have polled once, however many there are.
@@ -77,6 +79,11 @@
     return Step(offset_s, StepKind.DISCOVERY, discovery_mode=mode)
 
 
+def _kill_all(offset_s: float) -> Step:
+    """Kill all processes; the new ones get the list that the former ones got at their start."""
+    return Step(offset_s, StepKind.KILL, processes=(0, 1, 2), count=1)
+
+
 def _reload(offset_s: float) -> Step:
     return Step(offset_s, StepKind.RELOAD, processes=(0, 1, 2), count=2)
 
@@ -163,6 +170,44 @@
         _reset(AFTER_FIRST_CALLS_S),
         drain_offset_s=AFTER_FIRST_CALLS_S + 0.5,
     ),
+    "pushed_list_and_processes_that_start_in_an_outage": lambda: _plan(
+        _deployment(is_pushed=True, balancer_count=3),
+        _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + 0.5),
+        _kill_all(FAULT_OFFSET_S + 0.6),
+        _kill_all(FAULT_OFFSET_S + 2.5),
+        _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
+    ),
+    "pushed_list_and_processes_that_start_while_the_agent_refuses": lambda: _plan(
+        _deployment(is_pushed=True, balancer_count=3),
+        _mode(DiscoveryMode.REFUSING, FAULT_OFFSET_S + 0.5),
+        _kill_all(FAULT_OFFSET_S + 0.6),
+        _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
+    ),
+    "pushed_watch_ends_just_before_the_drain_and_an_outage": lambda: _plan(
+        _deployment(is_pushed=True, balancer_count=3),
+        _fail_calls(1, FAULT_OFFSET_S - LAST_CALL_S),
+        _reset(FAULT_OFFSET_S - LAST_CALL_S),
+        _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + LAST_CALL_S),
+        _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
+    ),
+    "pushed_list_with_a_short_grace_and_the_watch_ends_just_before_the_drain": lambda: _plan(
+        _deployment(is_pushed=True, balancer_count=3, drain_grace_ms=200.0),
+        _fail_calls(1, FAULT_OFFSET_S - LAST_CALL_S),
+        _reset(FAULT_OFFSET_S - LAST_CALL_S),
+        _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + LAST_CALL_S),
+        _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
+    ),
+    "pushed_list_and_a_reload_to_a_silent_agent": lambda: _plan(
+        _deployment(is_pushed=True, balancer_count=3),
+        _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + LAST_CALL_S),
+        _reload(FAULT_OFFSET_S + 2 * LAST_CALL_S),
+        _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
+    ),
+    "pushed_answers_cut_from_the_drain_on": lambda: _plan(
+        _deployment(is_pushed=True, balancer_count=3),
+        _mode(DiscoveryMode.CUT),
+        _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
+    ),
     "processes_start_while_the_servers_drain": lambda: _plan(
         _deployment(),
         Step(FAULT_OFFSET_S - 0.5, StepKind.KILL, processes=(0, 1, 2)),
--- a/walkloom/lab/soak/schedule.py
+++ b/walkloom/lab/soak/schedule.py
@@ -42,7 +42,7 @@
     RESET_SERVER = "reset_server"  # servers
     CRASH = "crash"  # servers
     RESTART = "restart"  # processes: SIGTERM, SIGKILL after the shortest delay, a new process
-    KILL = "kill"  # processes: SIGKILL, a new process
+    KILL = "kill"  # processes: SIGKILL, a new process; count: 1 with the cached list of the former process
     RELOAD = "reload"  # processes: SIGHUP, count times
     STOP = "stop"  # processes: SIGSTOP, SIGCONT after seconds
     WALL_CLOCK = "wall_clock"  # processes, seconds
--- a/walkloom/policy/dispatch.py
+++ b/walkloom/policy/dispatch.py
@@ -23,10 +23,12 @@
 
 def place(state: BalancerState, request: RequestState) -> None:
     """Start an attempt for a request with none running, hold the request, or give its final answer."""
-    latest_send_at = request.deadline - 2 * state.settings.tick_ms
-    if reason := _answer_reason(state, request, latest_send_at):
+    if reason := _answer_reason(state, request):
         answer(state, request, reason)
         return
+    if not list_lease.is_valid(state):
+        _hold(state, request, AnswerReason.LIST_EXPIRED)
+        return
     tier = endpoint_selection.tier_for(state, request)
     if state.uses_load_reports and load_polling.must_wait(state, request, tier):
         return
@@ -36,23 +38,34 @@
         _start_attempt(state, request, endpoint)
     elif not tier.size:
         answer(state, request, AnswerReason.NO_ENDPOINT)
-    elif request.poll_rounds > 1 or state.now + HOLD_INTERVAL_MS >= latest_send_at:
-        # the next round may be too late for its deadline
+    elif request.poll_rounds > 1:
         answer(state, request, AnswerReason.AT_CAPACITY)
     else:
-        state.requests.held[request.id] = request
-        _start_hold_timer(state)
+        _hold(state, request, AnswerReason.AT_CAPACITY)
+
+
+def _latest_send_at(state: BalancerState, request: RequestState) -> float:
+    return request.deadline - 2 * state.settings.tick_ms
+
+
+def _hold(state: BalancerState, request: RequestState, reason: AnswerReason) -> None:
+    """Hold a request until the next round, or answer it if that may be too late for its deadline."""
+    if state.now + HOLD_INTERVAL_MS >= _latest_send_at(state, request):
+        answer(state, request, reason)
+        return
+    state.requests.held[request.id] = request
+    _start_hold_timer(state)
 
 
-def _answer_reason(state: BalancerState, request: RequestState, latest_send_at: float) -> AnswerReason | None:
+def _answer_reason(state: BalancerState, request: RequestState) -> AnswerReason | None:
     """Return why no further attempt can be made for the request; None if one can."""
     if state.max_attempts == 0:
         return AnswerReason.SHUTDOWN
-    if not list_lease.is_valid(state):
+    if not list_lease.is_valid(state) and not list_lease.allows_waiting(state):
         return AnswerReason.LIST_EXPIRED
     if request.attempts >= state.max_attempts:
         return AnswerReason.ATTEMPTS_USED
-    if state.now >= latest_send_at:
+    if state.now >= _latest_send_at(state, request):
         return AnswerReason.DEADLINE
     return None if retry_safety.may_retry(state, request) else AnswerReason.NOT_REPEATABLE
 
@@ -121,6 +134,14 @@
     _start_hold_timer(state)
 
 
+def place_all_held(state: BalancerState) -> None:
+    """Place all held requests, after the list they waited for was confirmed."""
+    held = list(state.requests.held.values())
+    state.requests.held.clear()
+    for request in held:
+        place(state, request)
+
+
 def _start_hold_timer(state: BalancerState) -> None:
     if state.requests.held and not state.is_hold_timer_running:
         state.is_hold_timer_running = True
--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -2,7 +2,7 @@
 
 from walkloom.messages.actions import WatchEndpointList
 from walkloom.messages.events import EndpointListUpdate, ListFailure, UpdateKind
-from walkloom.policy import list_lease, migration, slow_start
+from walkloom.policy import dispatch, list_lease, migration, slow_start
 from walkloom.state import BalancerState, TimerToken
 
 MAX_WATCH_HOLD_MS = 500.0  # for which discovery may hold a call; an answer confirms the list (list_lease)
@@ -17,6 +17,7 @@
 ACCEPTABLE_QUEUE_MS = 2000.0  # calls need not be spread if discovery answers them all within this time
 MAX_QUEUE_SHARE = 0.8  # of the longest interval between two polls of a balancer
 PUSHED_PAUSE_SHARE = 0.25  # of the drain grace: an update counts as notified once the agent responds again
+MAX_PUSHED_PAUSE_MS = 125.0
 QUOTA_LOAD = 0.85  # share of the fleet's capacity that connections use if all quotas are used up
 
 
@@ -26,6 +27,7 @@
         list_lease.record_failure(state, event)
         state.start_timer(state.now + _pause_ms(state, event), TimerToken.WATCH)
         return
+    was_valid = list_lease.is_valid(state)
     list_lease.renew(state, event)
     if event.kind is UpdateKind.CACHED and state.settings.polls_endpoint_list:
         _schedule_first_call(state)
@@ -34,6 +36,8 @@
         migration.start_drain_timer(state)
     state.last_request_at = state.last_request_at or state.now  # a balancer may start during a burst
     state.estimate_connection_cost(QUOTA_LOAD)
+    if not was_valid and list_lease.is_valid(state):
+        dispatch.place_all_held(state)
 
 
 def receive_discovery_change(state: BalancerState) -> None:
@@ -71,7 +75,8 @@
     share = state.random.random()
     if not state.settings.polls_endpoint_list:
         # the time for which a silent agent held the call counts as part of the pause
-        return max(PUSHED_PAUSE_SHARE * state.settings.drain_grace_ms * share - event.call_ms, 0.0)
+        longest_ms = min(PUSHED_PAUSE_SHARE * state.settings.drain_grace_ms, MAX_PUSHED_PAUSE_MS)
+        return max(longest_ms * share - event.call_ms, 0.0)
     if event.failure is ListFailure.OVERLOADED:
         share += 0.5  # discovery has to work off its queue: no call may follow at once
     return _longest_pause_ms(state, event) * share
--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -2,8 +2,15 @@
 
 The lease starts when discovery confirms the list. It expires before a change that happened right after the
 confirmation could count as notified and outlive its drain grace (rule 3). After the lease has expired,
-nothing new is sent until discovery answers: clients are rejected.
+nothing new is sent until discovery answers.
 
+A pushed list: a change counts as notified once the agent has it, also before the process started. Only an
+answer of the agent shows what it had, so the lease is the drain grace from the start of the answered call,
+and no failed call extends it. The cached list of a new process has the grace from the start of the process.
+The agent answers again within milliseconds and at no cost, and a silent one has left all balancers without
+a list, so requests wait for it as long as their deadlines allow.
+
+A polled list: a change counts as notified some seconds after it was made, which gives the lease its length.
 Two kinds of observations of discovery count: an answer, and a call that discovery itself ended. While it
 refuses calls at once and was observed without a gap since its last answer, no balancer can learn of a
 change, and the lease is extended. A watch shows nothing between two answers, as it may have been silent,
@@ -22,6 +29,8 @@
 MAX_UNOBSERVED_MS = 1200.0
 # Multiplies the configured poll interval after a failed call. The platform sets this rule.
 FAILED_CALL_FACTOR = 4.0
+# Of the drain grace, for a pushed list whose grace is hardly longer than a stall of the process.
+MIN_PUSHED_LEASE_SHARE = 0.25
 
 
 def is_valid(state: BalancerState) -> bool:
@@ -49,7 +58,21 @@
         lease.is_in_outage = False
         lease.is_confirmed = update.kind is not UpdateKind.CACHED
         lease.observed_until = max(lease.observed_until, update.confirmed_at)
-        _extend(state, state.settings.max_list_age_ms)
+        if state.settings.polls_endpoint_list:
+            _extend(state, state.settings.max_list_age_ms)
+        else:
+            lease.expires_at = lease.observed_until + _pushed_lease_ms(state)
+    elif is_limited(state) and not state.settings.polls_endpoint_list:
+        # There was no usable cached list: an empty one is not to be taken for a fleet without servers.
+        lease.expires_at = state.now
+
+
+def allows_waiting(state: BalancerState) -> bool:
+    """Whether a request may wait for the list to be confirmed, rather than be rejected at once.
+
+    A polled discovery may answer only after many seconds, and other balancers may still have their lists.
+    """
+    return not state.settings.polls_endpoint_list
 
 
 def limit_after_reload(state: BalancerState) -> None:
@@ -65,7 +88,7 @@
     """Record a call that returned no list."""
     lease = state.list_lease
     lease.failures += 1
-    if not is_limited(state):
+    if not is_limited(state) or not state.settings.polls_endpoint_list:
         return
     is_down = update.failure is ListFailure.UNREACHABLE
     max_gap_ms = MAX_UNOBSERVED_MS if lease.is_in_outage else MAX_UNCONFIRMED_MS
@@ -80,6 +103,15 @@
     lease.expires_at = min(lease.expires_at, limit)
 
 
+def _pushed_lease_ms(state: BalancerState) -> float:
+    """Return how long a pushed list may be used after its confirmation, ms."""
+    if not state.list_lease.is_confirmed:
+        # The start of the process is known less exactly than that of a call.
+        return _grace_ms(state)
+    grace_ms = state.settings.drain_grace_ms
+    return max(grace_ms - state.settings.max_stall_ms, grace_ms * MIN_PUSHED_LEASE_SHARE)
+
+
 def _extend(state: BalancerState, max_age_ms: float) -> None:
     lease = state.list_lease
     lease.expires_at = lease.observed_until + max_age_ms + _grace_ms(state)
