Give a drain that came with a late list only the rest of its grace

What callers saw: where all servers drain and the agent of a pushed list falls silent right after it got the drains, its answer seconds later began a new grace: in pushed_list_and_all_servers_drain_just_before_a_silence (real processes) 125 attempts reached draining servers after that answer, over 2 s late.

Cause: a drain counted as notified when its list was applied. It may have counted since the last answer, which is where the list's lease began. Change: list_lease.changes_notified_since answers from when the changes of the next list may count, so that the draining tier ends with the lease; polled lists, too, have it so.

--- a/tests/policy/test_list_lease.py
+++ b/tests/policy/test_list_lease.py
@@ -313,6 +313,17 @@
         assert driver.endpoint_of(driver.request()) == "a"
 
 
+def test_a_drain_that_counted_before_its_late_list_came_gets_no_new_grace() -> None:
+    """Guards against work for draining servers when a late list tells that all servers drain."""
+    draining = A._replace(lifecycle=Lifecycle.DRAINING)
+    for list_age_ms, endpoint in ((3000.0, "a"), (MAX_LIST_AGE_MS + 2 * DRAIN_GRACE_MS, None)):
+        driver = start(balancer_count=3)
+        confirm(driver)
+        driver.wait(list_age_ms)
+        driver.handle_event(EndpointListUpdate(UpdateKind.INCREMENTAL, (draining,), confirmed_at=driver.now))
+        assert driver.endpoint_of(driver.request()) == endpoint
+
+
 def test_an_outage_may_be_observed_less_often_once_it_has_been_seen() -> None:
     """Guards against rejections in an outage while a busy machine delays the calls."""
     driver = start(balancer_count=3)
--- a/tests/policy/test_pushed_list_lease.py
+++ b/tests/policy/test_pushed_list_lease.py
@@ -13,6 +13,7 @@
     DiscoveryChanged,
     Endpoint,
     EndpointListUpdate,
+    Lifecycle,
     ListFailure,
     Reject,
     StartAttempt,
@@ -20,6 +21,7 @@
 )
 
 A = Endpoint("a")
+DRAINING_A = A._replace(lifecycle=Lifecycle.DRAINING)
 DRAIN_GRACE_MS = 500.0
 MAX_STALL_MS = 150.0
 # A byte may be sent so long after the clock was read.
@@ -117,6 +119,19 @@
     assert len(driver.attempts[request]) == 2
 
 
+def test_a_drain_that_the_agent_may_have_had_before_its_silence_gets_no_new_grace() -> None:
+    """Guards against work for draining servers when a late list tells that all servers drain."""
+    driver = running()
+    confirm(driver.wait(1000.0), DRAINING_A)
+    assert driver.endpoint_of(driver.request()) is None
+
+
+def test_a_drain_between_two_answers_leaves_the_draining_tier_usable_for_a_part_of_the_grace() -> None:
+    driver = running()
+    confirm(driver.wait(100.0), DRAINING_A)
+    assert driver.endpoint_of(driver.wait(180.0).request()) == "a"
+
+
 def test_a_request_waits_for_the_agent_although_there_is_no_cached_list() -> None:
     driver = BalancerDriver(seed=1, **PUSHED)
     driver.handle_event(EndpointListUpdate(UpdateKind.CACHED))
--- a/tests/soak_plants/plants.py
+++ b/tests/soak_plants/plants.py
@@ -54,8 +54,8 @@
     Plant(
         "a drain counts as notified 4 s late",
         "state/endpoint_table.py",
-        "            endpoint.drain_notified_at = now\n        return lifecycle",
-        "            endpoint.drain_notified_at = now + 4000.0\n        return lifecycle",
+        "            endpoint.drain_notified_at = notified_at\n        return lifecycle",
+        "            endpoint.drain_notified_at = notified_at + 4000.0\n        return lifecycle",
     ),
     Plant(
         "the deadline is 1 s late",
--- a/walkloom/lab/soak/scenarios.py
+++ b/walkloom/lab/soak/scenarios.py
@@ -197,6 +197,14 @@
         _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + LAST_CALL_S),
         _mode(HEALTHY, FAULT_OFFSET_S + 9.0),
     ),
+    "pushed_list_and_all_servers_drain_just_before_a_silence": lambda: _plan(
+        replace(_deployment(is_pushed=True, balancer_count=3), request_rate=150.0),
+        _fail_calls(1, FAULT_OFFSET_S - LAST_CALL_S),
+        _reset(FAULT_OFFSET_S - LAST_CALL_S),
+        _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + LAST_CALL_S),
+        _mode(HEALTHY, FAULT_OFFSET_S + 3.0),
+        drained=tuple(range(SERVER_COUNT)),
+    ),
     "pushed_list_and_a_reload_to_a_silent_agent": lambda: _plan(
         _deployment(is_pushed=True, balancer_count=3),
         _mode(DiscoveryMode.SILENT, FAULT_OFFSET_S + LAST_CALL_S),
--- a/walkloom/policy/endpoint_watch.py
+++ b/walkloom/policy/endpoint_watch.py
@@ -28,11 +28,12 @@
         state.start_timer(state.now + _pause_ms(state, event), TimerToken.WATCH)
         return
     was_valid = list_lease.is_valid(state)
+    notified_at = list_lease.changes_notified_since(state)
     list_lease.renew(state, event)
     if event.kind is UpdateKind.CACHED and state.settings.polls_endpoint_list:
         _schedule_first_call(state)
     slow_start.update_connections_per_weight(state)  # endpoints may leave together before they were sampled
-    if state.endpoints.apply(event, state.now):
+    if state.endpoints.apply(event, state.now, notified_at):
         migration.start_drain_timer(state)
     state.last_request_at = state.last_request_at or state.now  # a balancer may start during a burst
     state.estimate_connection_cost(QUOTA_LOAD)
--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -67,6 +67,14 @@
         lease.expires_at = state.now
 
 
+def changes_notified_since(state: BalancerState) -> float:
+    """Return when a change that the next list brings counts as notified at the earliest; now at the latest.
+
+    The list may come late. A drain that it brings has the rest of its grace, which ends with the lease.
+    """
+    return min(state.now, state.list_lease.expires_at - _grace_ms(state))
+
+
 def allows_waiting(state: BalancerState) -> bool:
     """Whether a request may wait for the list to be confirmed, rather than be rejected at once.
 
--- a/walkloom/state/endpoint_table.py
+++ b/walkloom/state/endpoint_table.py
@@ -50,21 +50,25 @@
         """Have the next tier() rebuilt, after an endpoint was ejected or rejoined."""
         self._is_stale = True
 
-    def apply(self, update: EndpointListUpdate, now: float) -> bool:
-        """Apply an update that is not FAILED; return whether an endpoint began to drain. now: ms."""
+    def apply(self, update: EndpointListUpdate, now: float, notified_at: float | None = None) -> bool:
+        """Apply an update that is not FAILED; return whether an endpoint began to drain.
+
+        now: the current time, ms. notified_at: when the changes count as notified, ms; None: now.
+        """
+        notified_at = now if notified_at is None else notified_at
         any_drains = False
         for entry in update.endpoints:
-            any_drains |= self._apply_entry(entry, now)
+            any_drains |= self._apply_entry(entry, now, notified_at)
         if update.kind is not UpdateKind.INCREMENTAL:
             listed = {entry.id for entry in update.endpoints}
             for endpoint in self.by_id.values():
                 if endpoint.id not in listed:
-                    self._set_lifecycle(endpoint, Lifecycle.REMOVED, now)
+                    self._set_lifecycle(endpoint, Lifecycle.REMOVED, notified_at)
         self._has_list = True
         self._last_list_at = now
         return any_drains
 
-    def _apply_entry(self, entry: Endpoint, now: float) -> bool:
+    def _apply_entry(self, entry: Endpoint, now: float, notified_at: float) -> bool:
         endpoint = self.by_id.get(entry.id)
         if endpoint is None:
             if entry.lifecycle is Lifecycle.REMOVED:
@@ -83,7 +87,7 @@
             endpoint.remaining_weight = weight  # depends on the load, not on the endpoint's total capacity
         else:
             endpoint.capacity_weight = weight
-        return self._set_lifecycle(endpoint, entry.lifecycle, now)
+        return self._set_lifecycle(endpoint, entry.lifecycle, notified_at)
 
     def _add(self, entry: Endpoint, now: float) -> EndpointState:
         endpoint = EndpointState.from_list(
@@ -98,7 +102,7 @@
             endpoint.drain_notified_at = max(now - self._settings.drain_grace_ms, 0.0)
         return endpoint
 
-    def _set_lifecycle(self, endpoint: EndpointState, lifecycle: Lifecycle, now: float) -> bool:
+    def _set_lifecycle(self, endpoint: EndpointState, lifecycle: Lifecycle, notified_at: float) -> bool:
         """Set the lifecycle; return whether the endpoint begins to drain."""
         is_ready = lifecycle is Lifecycle.READY
         was_ready = endpoint.drain_notified_at == NOT_DRAINING
@@ -109,7 +113,7 @@
         if is_ready:
             endpoint.drain_notified_at = NOT_DRAINING
         elif was_ready:
-            endpoint.drain_notified_at = now
+            endpoint.drain_notified_at = notified_at
         return lifecycle is Lifecycle.DRAINING
 
 
