Do not move clients off slow servers while the list allows no new work

What callers would see: in an outage of discovery a client on a slow server is told MOVE, comes back and is rejected, as no endpoint may get new work without a confirmed list: an established connection is lost for nothing.

Change: migration.record_delay pauses the slow server as before, and moves clients only while the list lease is valid. Drains move clients as before, as their servers leave.

Evidence: test_no_client_is_moved_off_a_slow_endpoint_while_no_endpoint_can_take_it failed before, passes now.

--- a/tests/policy/test_pushed_list_lease.py
+++ b/tests/policy/test_pushed_list_lease.py
@@ -10,12 +10,15 @@
 from walkloom.messages import (
     AnswerReason,
     AttemptStatus,
+    ConnectionSignal,
     DiscoveryChanged,
     Endpoint,
     EndpointListUpdate,
     Lifecycle,
     ListFailure,
+    MigrateConnection,
     Reject,
+    SignalKind,
     StartAttempt,
     UpdateKind,
 )
@@ -160,6 +163,31 @@
             confirm(driver, called_at=called_at)
 
 
+def test_no_client_is_moved_off_a_slow_endpoint_while_no_endpoint_can_take_it() -> None:
+    driver = running()
+    requests = [driver.request() for _ in range(40)]
+    for request in requests:
+        driver.establish(request)
+
+    def report_delay() -> None:
+        driver.handle_event(
+            ConnectionSignal(
+                request_id=requests[0],
+                attempt=0,
+                endpoint_id="a",
+                kind=SignalKind.MESSAGE_DELAY,
+                value=1000.0,
+            )
+        )
+
+    driver.wait(LEASE_MS)
+    report_delay()
+    assert not driver.actions_of(MigrateConnection)
+    confirm(driver)
+    report_delay()
+    assert driver.actions_of(MigrateConnection)
+
+
 def test_a_reload_gives_a_pushed_list_no_more_time() -> None:
     """Guards against work for drained servers after SIGHUP while the agent is silent."""
     driver = running()
--- a/walkloom/policy/migration.py
+++ b/walkloom/policy/migration.py
@@ -1,7 +1,7 @@
 """Pauses overloaded endpoints, and migrates open connections off overloaded and draining endpoints."""
 
 from walkloom.messages.actions import LogMessage, MigrateConnection
-from walkloom.policy import slow_start
+from walkloom.policy import list_lease, slow_start
 from walkloom.state import (
     NEVER_HAPPENED,
     NOT_DRAINING,
@@ -46,7 +46,9 @@
     if state.now - endpoint.overloaded_at >= OVERLOAD_RECOVERY_MS:
         state.actions.append(LogMessage(f"server_overloaded delay_ms={delay_ms:.0f}", endpoint.id))
     endpoint.overloaded_at = state.now
-    _migrate_from_overloaded(state, endpoint, delay_ms)
+    if list_lease.is_valid(state):
+        # a client that is moved while nothing can be placed would lose its connection for nothing
+        _migrate_from_overloaded(state, endpoint, delay_ms)
 
 
 def start_drain_timer(state: BalancerState) -> None:
