Let any request be a trial of an ejected server, so that ejections end

Where no request class is idempotent, an ejected server was never tried again.

Cause: outlier_detection.select_trial gave trials to idempotent requests only, and an ejected endpoint rejoins by trials alone. Now a request that is not idempotent is a trial if no other endpoint is usable, if the trial before it succeeded, or if the trial has been due for 2 s. One that may have run before is none (rule 2).

--- a/walkloom/policy/outlier_detection.py
+++ b/walkloom/policy/outlier_detection.py
@@ -12,6 +12,7 @@
 MAX_TRIAL_BACKOFF_MS = 8000.0  # so that an endpoint that recovered is found within seconds
 TRIAL_INTERVAL_MS = 250.0  # after a successful trial
 SUCCESSFUL_TRIALS_TO_REJOIN = 3  # in a row
+UNCLAIMED_TRIAL_MS = 2000.0  # for which a trial that is due is reserved for idempotent requests
 FAILURE_STATUSES = (  # which count against an endpoint; being at capacity does not
     AttemptStatus.ERROR,
     AttemptStatus.TIMED_OUT,
@@ -46,18 +47,34 @@
 def select_trial(state: BalancerState, request: RequestState, tier: Tier) -> EndpointState | None:
     """Return an ejected endpoint for a trial; None if no trial is due.
 
-    Only first attempts of idempotent requests are trials. A remote endpoint gets one only if no local
-    endpoint is usable.
+    Only first attempts are trials. A remote endpoint gets one only if no local endpoint is usable.
     """
-    if request.attempts or request.request_class.idempotency is not Idempotency.IDEMPOTENT:
+    if request.attempts:
         return None
     local_zone = state.settings.local_zone
     trial_candidates = [
         item for item in state.endpoints.ejected if item.zone == local_zone or not tier.local.endpoints
     ]
     for endpoint in trial_candidates:
-        if endpoint.is_trial_due(state.now) and slow_start.has_capacity(state, endpoint):
+        may_try = endpoint.is_trial_due(state.now) and _may_be_trial(state, request, endpoint, tier)
+        if may_try and slow_start.has_capacity(state, endpoint):
             endpoint.is_trial_running = True
             request.is_trial = True
             return endpoint
     return None
+
+
+def _may_be_trial(state: BalancerState, request: RequestState, endpoint: EndpointState, tier: Tier) -> bool:
+    """Whether the request may be a trial of the endpoint although the trial may fail.
+
+    A failed trial may be the only attempt of a request that is not idempotent. Such a request is a trial if
+    no other endpoint is usable, if the trial before it succeeded, or if no idempotent request has come for a
+    while: an endpoint must be able to rejoin whatever the classes are. One that may have run before is no
+    trial, as only some endpoints may run it again (rule 2).
+    """
+    if request.request_class.idempotency is Idempotency.IDEMPOTENT:
+        return True
+    if request.may_have_run_at >= 0:
+        return False
+    is_unclaimed = state.now - endpoint.next_trial_at >= UNCLAIMED_TRIAL_MS
+    return not tier.size or endpoint.successful_trials > 0 or is_unclaimed
