Bring the planted changes of the policy in line with its source

tests/characterisation/policy_check.py could not run: the old texts of four planted changes stood nowhere in the source since the list's lease, and a fifth made a file that does not compile. They are replaced by the same changes of the present text, the trial's one by two.

--- a/tests/characterisation/policy_plants.py
+++ b/tests/characterisation/policy_plants.py
@@ -26,12 +26,12 @@
         "request.may_have_run_on = None",
     ),
     "drain grace without the slack of two rounds": (
-        "state.now - state.settings.drain_grace_ms + 2 * state.settings.tick_ms",
-        "state.now - state.settings.drain_grace_ms",
+        "grace_started_after = state.now - state.settings.drain_grace_ms + margin_ms",
+        "grace_started_after = state.now - state.settings.drain_grace_ms",
     ),
     "one attempt more than allowed": (
-        "request.attempts >= state.max_attempts or not may_retry(state, request)",
-        "request.attempts > state.max_attempts or not may_retry(state, request)",
+        "    if request.attempts >= state.max_attempts:\n        return AnswerReason.ATTEMPTS_USED\n",
+        "    if request.attempts > state.max_attempts:\n        return AnswerReason.ATTEMPTS_USED\n",
     ),
     "cold servers have no budget": (
         "endpoint.cold_budget = int(_budget(state, endpoint, elapsed_ms) + state.random.random())",
@@ -41,9 +41,14 @@
         "is_failure = event.status in outlier_detection.FAILURE_STATUSES",
         "is_failure = event.status in (*outlier_detection.FAILURE_STATUSES, AttemptStatus.AT_CAPACITY)",
     ),
-    "trials of requests that are not idempotent": (
-        "if request.attempts or request.request_class.idempotency is not Idempotency.IDEMPOTENT:",
-        "if request.attempts:",
+    "trials are not reserved for idempotent requests": (
+        "    if request.request_class.idempotency is Idempotency.IDEMPOTENT:\n        return True\n"
+        "    if request.may_have_run_at >= 0:\n",
+        "    if request.may_have_run_at < 0:\n        return True\n    if request.may_have_run_at >= 0:\n",
+    ),
+    "no trials of requests that are not idempotent": (
+        "    return not tier.size or endpoint.successful_trials > 0 or is_unclaimed\n",
+        "    return False\n",
     ),
     "own zone not preferred": ("    for pool in tier:\n", "    for pool in tier[::-1]:\n"),
     "a retry may go to the same server": (
@@ -63,17 +68,20 @@
         "if True:",
     ),
     "held requests lie past their deadline": (
-        "if remaining or next_round_at >= request.request.deadline:",
+        "if remaining or next_round_at >= request.deadline:",
         "if remaining:",
     ),
     "silent servers are not passed over": (
         "return [item for item in endpoints if state.now - item.reported_at <= max_age_ms] or endpoints",
         "return endpoints",
     ),
-    "groups have no preferred endpoints": ("        chosen = _group_endpoints(state, request, pool)\n", ""),
+    "groups have no preferred endpoints": (
+        "        chosen = _group_endpoints(state, request, pool)\n",
+        "        pass\n",
+    ),
     "requests that wait are not ended at shutdown": (
         "    for request in [*state.requests.held.values(), *state.requests.polling.values()]:\n"
-        "        answer(state, request)\n",
+        "        answer(state, request, AnswerReason.SHUTDOWN)\n",
         "",
     ),
 }
--- a/tests/characterisation/test_policy.py
+++ b/tests/characterisation/test_policy.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from tests.characterisation.policy_check import planted_changes
 from tests.characterisation.policy_digests import run_script
+from tests.characterisation.policy_plants import PLANTS
 from tests.characterisation.policy_scripts import SCRIPTS
 from tests.characterisation.policy_world import Script
 
@@ -21,3 +23,11 @@
 
 def test_every_recorded_script_is_run() -> None:
     assert {script.name for script in SCRIPTS} == DIGESTS.keys()
+
+
+def test_every_planted_change_applies_to_the_source() -> None:
+    """Guards against planted changes whose old text no longer stands in the source."""
+    changes = list(planted_changes())
+    assert [change.name for change in changes] == list(PLANTS)
+    for change in changes:
+        compile(change.new, str(change.file), "exec")
--- a/tests/policy/test_pushed_list_lease.py
+++ b/tests/policy/test_pushed_list_lease.py
@@ -20,6 +20,7 @@
     Reject,
     SignalKind,
     StartAttempt,
+    StartTimer,
     UpdateKind,
 )
 
@@ -163,6 +164,17 @@
             confirm(driver, called_at=called_at)
 
 
+def test_an_agent_that_refuses_is_called_again_soon_however_long_the_grace_is() -> None:
+    for drain_grace_ms in (200.0, 500.0, 5000.0):
+        driver = start(drain_grace_ms=drain_grace_ms)
+        for _ in range(20):
+            driver.actions.clear()
+            fail(driver, ListFailure.UNREACHABLE)
+            [timer] = [action for action in driver.actions if isinstance(action, StartTimer)]
+            assert timer.fires_at - driver.now <= min(drain_grace_ms / 4, 125.0)
+            driver.run_timers(timer.fires_at - driver.now)
+
+
 def test_no_client_is_moved_off_a_slow_endpoint_while_no_endpoint_can_take_it() -> None:
     driver = running()
     requests = [driver.request() for _ in range(40)]
