Extend the lease of a polled list only by refusals that go on for two seconds

Cause: list_lease.record_failure took the refusals for an outage that had begun with the last answer and gave the list its full lease again. They extend it only once they have gone on for 2 s, or half of the lease; until then the lease of the last answer goes on. A longer outage extends it as before, as the lease lasts for over six seconds.

--- a/tests/policy/test_list_lease.py
+++ b/tests/policy/test_list_lease.py
@@ -21,6 +21,7 @@
     UpdateKind,
     WatchEndpointList,
 )
+from walkloom.policy.list_lease import MIN_OUTAGE_MS
 
 A = Endpoint("a")
 MAX_LIST_AGE_MS = 6000.0
@@ -109,6 +110,19 @@
         assert driver.endpoint_of(driver.request()) == "a"
 
 
+@pytest.mark.parametrize("refusals_ms", [0.0, 600.0, MIN_OUTAGE_MS - 100.0])
+def test_a_few_refused_calls_before_a_silence_do_not_extend_the_lease(refusals_ms: float) -> None:
+    """Guards against a drain that is missed since a watch fell silent right before calls were refused."""
+    driver = start()
+    confirm(driver)
+    confirmed_at = driver.now
+    refuse_calls_for(driver.wait(400.0), refusals_ms)
+    fail(driver, ListFailure.UNANSWERED)
+    expires_at = confirmed_at + MAX_LIST_AGE_MS + DRAIN_GRACE_MS
+    assert driver.endpoint_of(driver.wait(expires_at - 1.0 - driver.now).request()) == "a"
+    assert driver.endpoint_of(driver.wait(1.0).request()) is None
+
+
 def test_the_lease_expires_after_a_gap_in_the_observation_of_discovery() -> None:
     driver = start()
     confirm(driver)
--- a/walkloom/policy/list_lease.py
+++ b/walkloom/policy/list_lease.py
@@ -27,6 +27,10 @@
 # observations of an outage are this far apart.
 MAX_UNCONFIRMED_MS = 800.0
 MAX_UNOBSERVED_MS = 1200.0
+# An outage extends the lease once it has lasted so long, or for this share of the lease if that is shorter.
+# Before, some refused calls may be followed by a silence that hides a change.
+MIN_OUTAGE_MS = 2000.0
+MAX_OUTAGE_SHARE = 0.5
 # Multiplies the configured poll interval after a failed call. The platform sets this rule.
 FAILED_CALL_FACTOR = 4.0
 # Of the drain grace, for a pushed list whose grace is hardly longer than a stall of the process.
@@ -103,8 +107,10 @@
     has_no_gap = lease.is_confirmed and state.now - lease.observed_until <= max_gap_ms
     if has_no_gap and is_valid(state) and (is_down or update.ended_watch):
         lease.observed_until = state.now
-        lease.is_in_outage = True
-        if is_down:
+        if not lease.is_in_outage:
+            lease.is_in_outage = True
+            lease.outage_observed_at = state.now
+        if is_down and _has_outage_lasted(state):
             _extend(state, _max_age_after_failure_ms(state))
     # without an open watch the limit from the configured poll interval may be the shorter one
     limit = lease.observed_until + _max_age_after_failure_ms(state) + _grace_ms(state)
@@ -120,6 +126,11 @@
     return max(grace_ms - state.settings.max_stall_ms, grace_ms * MIN_PUSHED_LEASE_SHARE)
 
 
+def _has_outage_lasted(state: BalancerState) -> bool:
+    min_outage_ms = min(MIN_OUTAGE_MS, _max_age_after_failure_ms(state) * MAX_OUTAGE_SHARE)
+    return state.now - state.list_lease.outage_observed_at >= min_outage_ms
+
+
 def _extend(state: BalancerState, max_age_ms: float) -> None:
     lease = state.list_lease
     lease.expires_at = lease.observed_until + max_age_ms + _grace_ms(state)
--- a/walkloom/state/list_lease.py
+++ b/walkloom/state/list_lease.py
@@ -23,6 +23,9 @@
     # Whether an outage of discovery was observed without a gap since its last answer.
     is_in_outage: bool = False
 
+    # When that outage was first observed.
+    outage_observed_at: float = -INFINITE_TIME
+
     # Number of consecutive failed calls.
     failures: int = 0
 
