Do not count attempts that the end of the list's lease stopped

A request whose attempt connected while the lease of the list ran out was not sent, and waits for the agent's next answer; but each such attempt counted towards the limit, so that a request on a busy machine could be rejected (attempts_used) though its deadline allowed it to wait. Such attempts are counted apart now; nothing ran, and there is one at most for each time that the lease expires.

The new test failed before.

--- a/tests/policy/test_pushed_list_lease.py
+++ b/tests/policy/test_pushed_list_lease.py
@@ -123,6 +123,19 @@
     assert len(driver.attempts[request]) == 2
 
 
+def test_attempts_that_the_end_of_the_lease_stopped_do_not_use_up_those_of_the_request() -> None:
+    """Guards against rejections of requests that connected whenever the lease ran out."""
+    driver = running()
+    request = driver.request()
+    for _ in range(2 * driver.settings.max_attempts):
+        driver.wait(LEASE_MS)
+        assert not driver.balancer.may_send(request, "a", driver.now)
+        driver.end_attempt(request, AttemptStatus.NOT_SENT)
+        confirm(driver)
+    assert not driver.actions_of(Reject)
+    assert len(driver.attempts[request]) == 2 * driver.settings.max_attempts + 1
+
+
 def test_a_drain_that_the_agent_may_have_had_before_its_silence_gets_no_new_grace() -> None:
     """Guards against work for draining servers when a late list tells that all servers drain."""
     driver = running()
--- a/walkloom/policy/dispatch.py
+++ b/walkloom/policy/dispatch.py
@@ -63,7 +63,7 @@
         return AnswerReason.SHUTDOWN
     if not list_lease.is_valid(state) and not list_lease.allows_waiting(state):
         return AnswerReason.LIST_EXPIRED
-    if request.attempts >= state.max_attempts:
+    if request.sent_attempts >= state.max_attempts:
         return AnswerReason.ATTEMPTS_USED
     if state.now >= _latest_send_at(state, request):
         return AnswerReason.DEADLINE
@@ -72,9 +72,9 @@
 
 def _start_attempt(state: BalancerState, request: RequestState, endpoint: EndpointState) -> None:
     remaining_ms = request.deadline - state.now
-    timeout_ms = request.request_class.latency_objective_ms * 2**request.attempts
+    timeout_ms = request.request_class.latency_objective_ms * 2**request.sent_attempts
     request.attempts += 1
-    is_last = request.attempts >= state.max_attempts
+    is_last = request.sent_attempts >= state.max_attempts
     may_repeat = request.request_class.idempotency is not Idempotency.NOT_IDEMPOTENT
     if is_last or timeout_ms > FULL_TIMEOUT_SHARE * remaining_ms or not may_repeat:
         timeout_ms = remaining_ms
@@ -118,6 +118,8 @@
     if event.request_closed or request.is_established or request.is_disconnected:
         state.requests.remove(event.request_id)
         return
+    if event.status is AttemptStatus.NOT_SENT and not list_lease.is_valid(state):
+        request.unsent_attempts += 1
     place(state, request)
 
 
--- a/walkloom/state/request.py
+++ b/walkloom/state/request.py
@@ -22,6 +22,8 @@
     # Number of attempts started, and when the newest one was sent.
     attempts: int = 0
     sent_at: float = 0.0
+    # Number of attempts that were not sent because the lease of the list expired while they connected.
+    unsent_attempts: int = 0
     # Endpoint of the running attempt or of the connection; None: no attempt is running.
     endpoint: EndpointState | None = None
     # The load that is counted at that endpoint, relative to the mean.
@@ -55,6 +57,11 @@
         self.deadline = self.request.deadline
         self.affinity_group = self.request.affinity_group
 
+    @property
+    def sent_attempts(self) -> int:
+        """Number of attempts that count towards the limit."""
+        return self.attempts - self.unsent_attempts
+
     def is_on_draining_endpoint(self) -> bool:
         """Whether its connection is established at a draining endpoint."""
         endpoint = self.endpoint
