Let an endpoint be chosen again after an attempt that the end of the lease stopped

On a busy machine with a drain grace of 200 ms (a lease of 50 ms) a request was rejected (at_capacity) though the agent answered again; tests/lab/test_stale_list.py (new work soon after the agent answers, short grace) failed once so, beside a load of 7.

Cause, by a log of the same scenario beside 16 busy processes: both attempts of the request ended NOT_SENT, 4 and 17 ms after they began, and marked their endpoints as tried. Its affinity group has two endpoints, so that none was left, and it waited for 1,250 ms until its deadline. An attempt that the end of the lease stopped no longer marks its endpoint.

The new test failed before.

--- a/tests/policy/test_pushed_list_lease.py
+++ b/tests/policy/test_pushed_list_lease.py
@@ -136,6 +136,21 @@
     assert len(driver.attempts[request]) == 2 * driver.settings.max_attempts + 1
 
 
+def test_an_endpoint_whose_attempt_the_end_of_the_lease_stopped_may_be_chosen_again() -> None:
+    """Guards against requests that wait until their deadlines as all endpoints of their group were tried."""
+    driver = start(balancer_count=3)
+    confirm(driver, A, *(Endpoint(name) for name in "bcdef"))
+    request = driver.request(group=7)
+    chosen = [driver.endpoint_of(request)]
+    for _ in range(driver.settings.max_attempts):
+        driver.wait(LEASE_MS)
+        driver.end_attempt(request, AttemptStatus.NOT_SENT)
+        confirm(driver)
+        chosen.append(driver.endpoint_of(request))
+    assert len(driver.attempts[request]) == len(chosen)
+    assert set(chosen) == {chosen[0]}
+
+
 def test_a_drain_that_the_agent_may_have_had_before_its_silence_gets_no_new_grace() -> None:
     """Guards against work for draining servers when a late list tells that all servers drain."""
     driver = running()
--- a/walkloom/policy/dispatch.py
+++ b/walkloom/policy/dispatch.py
@@ -119,7 +119,7 @@
         state.requests.remove(event.request_id)
         return
     if event.status is AttemptStatus.NOT_SENT and not list_lease.is_valid(state):
-        request.unsent_attempts += 1
+        request.forget_unsent_attempt(endpoint)
     place(state, request)
 
 
--- a/walkloom/state/request.py
+++ b/walkloom/state/request.py
@@ -62,6 +62,11 @@
         """Number of attempts that count towards the limit."""
         return self.attempts - self.unsent_attempts
 
+    def forget_unsent_attempt(self, endpoint: EndpointState) -> None:
+        """Make an attempt that was not sent count neither towards the limit nor against its endpoint."""
+        self.unsent_attempts += 1
+        self.attempted_endpoints.discard(endpoint.id)
+
     def is_on_draining_endpoint(self) -> bool:
         """Whether its connection is established at a draining endpoint."""
         endpoint = self.endpoint
