--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from walkloom.balancer import Balancer
 from walkloom.messages import (
@@ -13,6 +13,7 @@
     AttemptEstablished,
     AttemptStatus,
     ClientKey,
+    ConnectionSignal,
     Endpoint,
     EndpointId,
     EndpointListUpdate,
@@ -23,6 +24,7 @@
     RequestClass,
     RequestId,
     Settings,
+    SignalKind,
     StartAttempt,
     StartTimer,
     TimerFired,
@@ -30,6 +32,12 @@
 )
 
 ActionType = TypeVar("ActionType")
+POLLED_LOAD_REPORTS: dict[str, Any] = {
+    "server_reports_latency": False,
+    "load_reports_available": True,
+    "load_report_load_index": 1,
+    "load_report_connections_index": 0,
+}
 IDEMPOTENT_CLASS = RequestClass(latency_objective_ms=500.0, message_latency_objective_ms=100.0)
 BASE_SETTINGS = Settings(
     request_classes=(IDEMPOTENT_CLASS,),
@@ -150,3 +158,16 @@
 
     def actions_of(self, kind: type[ActionType]) -> list[ActionType]:
         return [a for a in self.actions if isinstance(a, kind)]
+
+
+def report_delay(driver: BalancerDriver, rid: RequestId, delay: float) -> list[Action]:
+    server = driver.attempts[rid][-1].endpoint_id
+    return driver.handle_event(
+        ConnectionSignal(
+            request_id=rid,
+            attempt=len(driver.attempts[rid]) - 1,
+            endpoint_id=server,
+            kind=SignalKind.MESSAGE_DELAY,
+            value=delay,
+        )
+    )
--- a/tests/policy/test_outlier_detection.py
+++ b/tests/policy/test_outlier_detection.py
@@ -101,3 +101,30 @@
         else:
             assert driver.endpoint_of(driver.request_count) is None
             assert any(isinstance(action, Fail) for action in actions)
+
+
+def test_a_failing_server_is_ejected_gets_rare_trials_and_rejoins() -> None:
+    driver = BalancerDriver()
+    driver.update_list(A, B)
+    failed_attempts = 0
+    for _ in range(40):
+        rid = driver.wait(20).request()
+        if driver.endpoint_of(rid) == "a":
+            failed_attempts += 1
+            driver.end_attempt(rid, AttemptStatus.ERROR)
+        driver.establish(rid)
+    assert failed_attempts == 2
+    before = driver.request_count
+    for _ in range(40):  # the server has recovered: trials, then its share of the requests
+        driver.establish(driver.wait(200).request())
+    placed = [driver.attempts[i][0].endpoint_id for i in range(before + 1, driver.request_count + 1)]
+    assert placed.count("a") >= 5
+
+
+def test_at_capacity_and_cancelled_attempts_are_not_failures() -> None:
+    driver = BalancerDriver()
+    driver.update_list(A)
+    for _ in range(10):
+        driver.end_attempt(driver.wait(1100).request(), AttemptStatus.AT_CAPACITY, is_closed=True)
+        driver.end_attempt(driver.wait(1100).request(), AttemptStatus.CANCELLED, is_closed=True)
+    assert driver.endpoint_of(driver.request()) == "a"
