--- a/tests/policy/test_list_lease.py
+++ b/tests/policy/test_list_lease.py
@@ -100,8 +100,9 @@
     assert driver.endpoint_of(driver.wait(20.0).request()) is None
 
 
-def test_the_list_stays_usable_while_discovery_is_observed_to_be_down() -> None:
-    driver = start()
+@pytest.mark.parametrize("max_poll_interval_ms", [10_000.0, 250.0])
+def test_the_list_stays_usable_while_discovery_is_observed_to_be_down(max_poll_interval_ms: float) -> None:
+    driver = start(max_poll_interval_ms=max_poll_interval_ms)
     confirm(driver)
     for _ in range(60):
         pause = fail(driver.wait(300.0), ListFailure.UNREACHABLE)
